--- /dev/null
+++ b/packages/core/dispatcher.h
@@ -0,0 +1,71 @@
+// The core of one entry VM: events in, actions out.
+//
+//     Dispatcher core(settings);
+//     Actions actions;
+//     core.handle(now, event, actions);   // for every event, and TimerFired when the last SetTimer is due
+//     for (const Action &action : actions) ...carry out in order
+//
+// No sockets, files, threads, clocks or global randomness: the same events with the same seed give the same actions.
+// Not thread-safe; one control thread owns it. See docs/embedding.md.
+#pragma once
+
+#include "core/configuration.h"
+#include "core/events.h"
+#include "core/membership.h"
+#include "core/ownership.h"
+#include "core/scheduler.h"
+
+#include <array>
+#include <memory>
+
+namespace clementinelift::core {
+
+// Counters of one core; the process exports them. All are totals since its start.
+struct Counters
+{
+    std::array<std::uint64_t, static_cast<std::size_t>(Reason::Count)> refusals{};     // by reason
+    std::array<std::uint64_t, static_cast<std::size_t>(Reason::Count)> failures{};     // by reason
+    std::array<std::uint64_t, static_cast<std::size_t>(RetryReason::Count)> retries{}; // by reason
+    std::uint64_t submissions = 0;                                                     // received from callers
+    std::uint64_t joins = 0;        // resubmissions that joined a job or got a stored answer
+    std::uint64_t forwardsSent = 0; // submissions passed on to the owner of the key
+    std::uint64_t forwardsReceived = 0;
+    std::uint64_t completed = 0;    // jobs
+    std::uint64_t attempts = 0;     // started
+    std::uint64_t attemptsBusy = 0; // ended Busy: wasted message
+    std::uint64_t attemptsNotStarted = 0;
+    std::uint64_t attemptsFailed = 0;
+    std::uint64_t attemptsUnknown = 0;
+    std::uint64_t tasksDropped = 0; // before they started
+    std::uint64_t stops = 0;        // attempts stopped at a backend server
+    std::uint64_t queries = 0;      // attempts asked after
+};
+
+class Dispatcher
+{
+public:
+    explicit Dispatcher(const CoreSettings &settings);
+    ~Dispatcher();
+
+    void handle(Now now, Event &&event, Actions &actions);
+
+    bool isReady() const;
+    bool isDraining() const;
+    std::string waitingFor() const; // what readiness waits for, empty when ready
+
+    const Counters &counters() const;
+    const Configuration &configuration() const;
+    const OwnershipTable &ownership() const;
+    const Membership &membership() const;
+    const Scheduler &scheduler() const;
+    std::size_t openJobs() const;
+    std::size_t rememberedKeys() const;
+    std::uint64_t answerBytes() const;
+    std::uint32_t ownedPartitions(std::int64_t issueMs) const;
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace clementinelift::core
