Add the HTTP server and client

The dispatcher and the stand-ins talk HTTP to callers, backend servers and the platform. The server suspends a connection until its answer is there, so waiting callers hold no thread. The client counts how often sending began, which tells requests that were certainly not sent from unknown outcomes and stops libcurl from repeating a request on a second connection.

--- /dev/null
+++ b/packages/net/http_client.cpp
@@ -0,0 +1,365 @@
+#include "net/http_client.h"
+
+#include <curl/curl.h>
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <cassert>
+#include <chrono>
+#include <mutex>
+#include <thread>
+
+namespace clementinelift::net {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr int eventsPerWait = 256;
+constexpr std::size_t maxKeptHandles = 256; // easy handles kept for later requests
+
+// One request in progress; owned by its easy handle until it has ended.
+struct Transfer
+{
+    HttpClientRequest request;
+    HttpClient::Done done;
+    HttpResult result;
+    curl_slist *fields = nullptr;
+    std::size_t maxAnswerBytes = 0;
+    int sends = 0; // times that a connection was there and sending began
+    std::array<char, CURL_ERROR_SIZE> error{};
+
+    Transfer() = default;
+    Transfer(const Transfer &) = delete;
+    Transfer &operator=(const Transfer &) = delete;
+    ~Transfer() { curl_slist_free_all(fields); }
+};
+
+// libcurl sends a request again on its own when a kept connection ends without an answer. The backend server may
+// have started the task by then, so the second send is stopped here unless the request is repeatable.
+int onSend(void *data, char *, char *, int, int)
+{
+    auto &transfer = *static_cast<Transfer *>(data);
+    if (transfer.sends > 0 && !transfer.request.repeatable)
+        return CURL_PREREQFUNC_ABORT;
+    ++transfer.sends;
+    return CURL_PREREQFUNC_OK;
+}
+
+std::size_t onBody(char *data, std::size_t, std::size_t size, void *user)
+{
+    auto &transfer = *static_cast<Transfer *>(user);
+    if (transfer.result.body.size() + size > transfer.maxAnswerBytes)
+        return 0;
+    transfer.result.body.append(data, size);
+    return size;
+}
+
+std::string_view trim(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t\r\n";
+    const std::size_t first = text.find_first_not_of(blanks);
+    return first == std::string_view::npos ? "" : text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+std::size_t onHeader(char *data, std::size_t, std::size_t size, void *user)
+{
+    const std::string_view line = trim({data, size});
+    const std::size_t colon = line.find(':');
+    if (colon != std::string_view::npos) {
+        static_cast<Transfer *>(user)->result.headers.emplace_back(line.substr(0, colon), trim(line.substr(colon + 1)));
+    }
+    return size;
+}
+
+void initCurl()
+{
+    static std::once_flag once;
+    std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+}
+
+} // namespace
+
+struct HttpClient::State
+{
+    HttpClientSettings settings;
+    CURLM *multi = nullptr;
+    int epoll = -1;
+    int wakeup = -1;
+    Clock::time_point timer = Clock::time_point::max(); // when libcurl wants to be called
+    std::vector<CURL *> handles;                        // not in use
+    std::vector<CURL *> active;                         // for stop()
+
+    std::mutex mutex;
+    std::vector<std::unique_ptr<Transfer>> incoming;
+    bool stopping = false;
+
+    std::atomic<std::size_t> open = 0;
+    std::atomic<std::uint64_t> bytesSent = 0;
+    std::atomic<std::uint64_t> bytesReceived = 0;
+    std::thread thread;
+
+    void run();
+    bool takeIncoming();
+    void begin(std::unique_ptr<Transfer> transfer);
+    void end(CURL *handle, CURLcode code);
+    void endFinished();
+    void endAll();
+    int waitTimeMs() const;
+
+    static int onSocket(CURL *handle, curl_socket_t socket, int what, void *self, void *known);
+    static int onTimer(CURLM *multi, long timeoutMs, void *self);
+};
+
+int HttpClient::State::onSocket(CURL *, curl_socket_t socket, int what, void *self, void *known)
+{
+    auto &state = *static_cast<State *>(self);
+    if (what == CURL_POLL_REMOVE) {
+        epoll_ctl(state.epoll, EPOLL_CTL_DEL, socket, nullptr);
+        return 0;
+    }
+    epoll_event event{};
+    event.data.fd = socket;
+    if ((what & CURL_POLL_IN) != 0)
+        event.events |= EPOLLIN;
+    if ((what & CURL_POLL_OUT) != 0)
+        event.events |= EPOLLOUT;
+    epoll_ctl(state.epoll, known == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, socket, &event);
+    curl_multi_assign(state.multi, socket, &state);
+    return 0;
+}
+
+int HttpClient::State::onTimer(CURLM *, long timeoutMs, void *self)
+{
+    static_cast<State *>(self)->timer =
+            timeoutMs < 0 ? Clock::time_point::max() : Clock::now() + std::chrono::milliseconds(timeoutMs);
+    return 0;
+}
+
+int HttpClient::State::waitTimeMs() const
+{
+    if (timer == Clock::time_point::max())
+        return -1;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(timer - Clock::now()).count();
+    return static_cast<int>(std::max<std::int64_t>(left, 0));
+}
+
+void HttpClient::State::run()
+{
+    std::array<epoll_event, eventsPerWait> events{};
+    int running = 0;
+    while (takeIncoming()) {
+        endFinished();
+        const int count = epoll_wait(epoll, events.data(), eventsPerWait, waitTimeMs());
+        for (int i = 0; i < count; ++i) {
+            const epoll_event &event = events[static_cast<std::size_t>(i)];
+            if (event.data.fd == wakeup) {
+                eventfd_t ignored = 0;
+                eventfd_read(wakeup, &ignored);
+                continue;
+            }
+            int mask = 0;
+            if ((event.events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
+                mask |= CURL_CSELECT_IN;
+            if ((event.events & (EPOLLOUT | EPOLLERR)) != 0)
+                mask |= CURL_CSELECT_OUT;
+            curl_multi_socket_action(multi, event.data.fd, mask, &running);
+        }
+        if (Clock::now() >= timer) {
+            timer = Clock::time_point::max();
+            curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running);
+        }
+        endFinished();
+    }
+    endAll();
+}
+
+bool HttpClient::State::takeIncoming()
+{
+    std::vector<std::unique_ptr<Transfer>> taken;
+    bool goOn = true;
+    {
+        const std::lock_guard lock(mutex);
+        taken.swap(incoming);
+        goOn = !stopping;
+    }
+    for (auto &transfer : taken)
+        begin(std::move(transfer));
+    return goOn;
+}
+
+void HttpClient::State::begin(std::unique_ptr<Transfer> transfer)
+{
+    CURL *handle = nullptr;
+    if (handles.empty()) {
+        handle = curl_easy_init();
+    } else {
+        handle = handles.back();
+        handles.pop_back();
+    }
+    Transfer &self = *transfer;
+    const HttpClientRequest &request = self.request;
+    self.maxAnswerBytes = settings.maxAnswerBytes;
+    for (const auto &[name, value] : request.headers)
+        self.fields = curl_slist_append(self.fields, (name + ": " + value).c_str());
+    self.fields = curl_slist_append(self.fields, "Expect:"); // no round trip before the body
+    self.fields = curl_slist_append(self.fields, "Content-Type: application/octet-stream");
+
+    curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(handle, CURLOPT_PROXY, ""); // the environment has no say
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    if (request.method == "POST") {
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
+    } else if (request.method != "GET") {
+        curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    }
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, self.fields);
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(std::max<std::int64_t>(request.timeoutMs, 1)));
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(settings.connectTimeoutMs));
+    curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, static_cast<long>(settings.maxConnectionAgeS));
+    curl_easy_setopt(handle, CURLOPT_ERRORBUFFER, self.error.data());
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, onSend);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, &self);
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, onBody);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &self);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, onHeader);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &self);
+    curl_easy_setopt(handle, CURLOPT_PRIVATE, transfer.release());
+    active.push_back(handle);
+    curl_multi_add_handle(multi, handle);
+}
+
+void HttpClient::State::end(CURL *handle, CURLcode code)
+{
+    Transfer *data = nullptr;
+    curl_easy_getinfo(handle, CURLINFO_PRIVATE, &data);
+    const std::unique_ptr<Transfer> transfer(data);
+    HttpResult &result = transfer->result;
+    long requestBytes = 0;
+    long headerBytes = 0;
+    long status = 0;
+    curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &requestBytes);
+    curl_easy_getinfo(handle, CURLINFO_HEADER_SIZE, &headerBytes);
+    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+    bytesSent += static_cast<std::uint64_t>(requestBytes) + (transfer->sends > 0 ? transfer->request.body.size() : 0);
+    bytesReceived += static_cast<std::uint64_t>(headerBytes) + result.body.size();
+
+    result.outcome = transfer->sends == 0 ? HttpOutcome::NotSent : HttpOutcome::Unknown;
+    if (code == CURLE_OK && status >= 200) {
+        result.outcome = HttpOutcome::Answered;
+        result.status = static_cast<int>(status);
+    } else {
+        result.error = transfer->error[0] != 0 ? transfer->error.data() : curl_easy_strerror(code);
+        result.headers.clear();
+        result.body.clear();
+    }
+
+    curl_multi_remove_handle(multi, handle);
+    std::erase(active, handle);
+    if (handles.size() < maxKeptHandles) {
+        curl_easy_reset(handle);
+        handles.push_back(handle);
+    } else {
+        curl_easy_cleanup(handle);
+    }
+    transfer->done(std::move(result));
+    --open;
+}
+
+void HttpClient::State::endFinished()
+{
+    int left = 0;
+    while (const CURLMsg *message = curl_multi_info_read(multi, &left)) {
+        if (message->msg == CURLMSG_DONE)
+            end(message->easy_handle, message->data.result);
+    }
+}
+
+void HttpClient::State::endAll()
+{
+    while (!active.empty())
+        end(active.back(), CURLE_ABORTED_BY_CALLBACK);
+}
+
+HttpClient::HttpClient(const HttpClientSettings &settings) : m_state(std::make_unique<State>())
+{
+    initCurl();
+    State &state = *m_state;
+    state.settings = settings;
+    state.multi = curl_multi_init();
+    state.epoll = epoll_create1(EPOLL_CLOEXEC);
+    state.wakeup = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+    assert(state.multi != nullptr && state.epoll >= 0 && state.wakeup >= 0);
+    epoll_event event{};
+    event.events = EPOLLIN;
+    event.data.fd = state.wakeup;
+    epoll_ctl(state.epoll, EPOLL_CTL_ADD, state.wakeup, &event);
+    curl_multi_setopt(state.multi, CURLMOPT_SOCKETFUNCTION, &State::onSocket);
+    curl_multi_setopt(state.multi, CURLMOPT_SOCKETDATA, m_state.get());
+    curl_multi_setopt(state.multi, CURLMOPT_TIMERFUNCTION, &State::onTimer);
+    curl_multi_setopt(state.multi, CURLMOPT_TIMERDATA, m_state.get());
+    curl_multi_setopt(state.multi, CURLMOPT_MAX_HOST_CONNECTIONS, settings.maxHostConnections);
+    curl_multi_setopt(state.multi, CURLMOPT_MAXCONNECTS, settings.maxIdleConnections);
+    curl_multi_setopt(state.multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+    state.thread = std::thread([&state] { state.run(); });
+}
+
+HttpClient::~HttpClient()
+{
+    stop();
+    for (CURL *handle : m_state->handles)
+        curl_easy_cleanup(handle);
+    curl_multi_cleanup(m_state->multi);
+    close(m_state->epoll);
+    close(m_state->wakeup);
+}
+
+void HttpClient::send(HttpClientRequest &&request, Done &&done)
+{
+    auto transfer = std::make_unique<Transfer>();
+    transfer->request = std::move(request);
+    transfer->done = std::move(done);
+    {
+        const std::lock_guard lock(m_state->mutex);
+        assert(!m_state->stopping);
+        m_state->incoming.push_back(std::move(transfer));
+        ++m_state->open;
+    }
+    eventfd_write(m_state->wakeup, 1);
+}
+
+void HttpClient::stop()
+{
+    if (!m_state->thread.joinable())
+        return;
+    {
+        const std::lock_guard lock(m_state->mutex);
+        m_state->stopping = true;
+    }
+    eventfd_write(m_state->wakeup, 1);
+    m_state->thread.join();
+}
+
+std::size_t HttpClient::openRequests() const
+{
+    return m_state->open;
+}
+
+std::uint64_t HttpClient::bytesSent() const
+{
+    return m_state->bytesSent;
+}
+
+std::uint64_t HttpClient::bytesReceived() const
+{
+    return m_state->bytesReceived;
+}
+
+} // namespace clementinelift::net
--- /dev/null
+++ b/packages/net/http_server.h
@@ -0,0 +1,100 @@
+// HTTP/1.1 server with bounded requests and answers from any thread.
+//
+//     auto server = HttpServer::start(settings, [&](HttpCall call, HttpRequest &&request) { ...queue it... });
+//     (*server)->answer(call, {200, R"({"ready":true})"});   // now or later, on any thread
+//     (*server)->stop(5000);                                 // delivers what was answered, then closes
+//
+// A call whose answer is not there yet holds no thread: its connection is suspended, so thousands may wait.
+// Requests over a bound are answered here and never reach the handler: 413 (body) and 431 (header), with the JSON body
+// {"error", "place", "detail"} of docs/protocols.md. Connections over the bound wait in the backlog of the socket.
+//
+// Contents
+//   Settings, requests and answers
+//   HttpServer
+#pragma once
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace clementinelift::net {
+
+// Settings, requests and answers --------------------------------------------------------------------
+
+struct HttpServerSettings
+{
+    std::string address = "127.0.0.1:0";   // ip:port, port 0: any free one
+    std::size_t maxBodyBytes = 4u << 20;   // larger bodies get 413
+    std::size_t maxHeaderBytes = 8u << 10; // request line and header; larger ones get 431
+    unsigned maxConnections = 4096;        // at once, over all threads
+    unsigned threads = 2;                  // I/O threads
+    unsigned idleTimeoutS = 60;            // connections without a request in progress are closed
+};
+
+using HttpFields = std::vector<std::pair<std::string, std::string>>;
+
+// Value of the first field with this name; names are compared without case. Empty when there is none.
+std::string_view findField(const HttpFields &fields, std::string_view name);
+
+struct HttpRequest
+{
+    std::string method; // upper case
+    std::string path;   // percent-decoded, without the query
+    HttpFields query;   // percent-decoded
+    HttpFields headers;
+    std::string body;
+};
+
+struct HttpAnswer
+{
+    int status = 200;
+    std::string body;
+    std::string contentType = "application/json";
+    HttpFields headers = {};
+};
+
+enum class HttpCall : std::uint64_t {}; // one request that waits for its answer, never reused
+
+// HttpServer ----------------------------------------------------------------------------------------
+
+class HttpServer
+{
+public:
+    // Called on an I/O thread; must not block. answer() may be called from inside.
+    using Handler = std::function<void(HttpCall, HttpRequest &&)>;
+
+    // The error says which address could not be used and why.
+    static tl::expected<std::unique_ptr<HttpServer>, std::string> start(const HttpServerSettings &settings,
+                                                                        Handler handler);
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+    ~HttpServer(); // stop(0) when still running
+
+    // Thread-safe. False when the call is unknown, already answered or its connection is gone.
+    bool answer(HttpCall call, HttpAnswer &&answer);
+
+    // Calls whose client has closed the connection; each is reported once and needs no answer any more.
+    std::vector<HttpCall> takeGone();
+
+    std::uint16_t port() const;
+    std::size_t openCalls() const; // received and not yet delivered
+
+    // From now on every answer closes its connection, so that clients move to other servers.
+    void closeIdle();
+
+    // Stops listening, waits up to waitMs until all answers are delivered, answers the rest with 503, closes.
+    void stop(std::int64_t waitMs);
+
+private:
+    struct State;
+    explicit HttpServer(std::unique_ptr<State> state);
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace clementinelift::net
--- /dev/null
+++ b/tests/unit/net/http_test.cpp
@@ -0,0 +1,253 @@
+#include "net/http_client.h"
+
+#include <catch2/catch.hpp>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <future>
+#include <mutex>
+#include <thread>
+
+using namespace clementinelift::net;
+
+namespace {
+
+std::string makeUrl(std::uint16_t port, const std::string &path)
+{
+    return "http://127.0.0.1:" + std::to_string(port) + path;
+}
+
+HttpResult exchange(HttpClient &client, HttpClientRequest request)
+{
+    std::promise<HttpResult> promise;
+    client.send(std::move(request), [&](HttpResult &&result) { promise.set_value(std::move(result)); });
+    return promise.get_future().get();
+}
+
+// Accepts connections one after the other, reads a request from each and closes it without an answer.
+class SilentServer
+{
+public:
+    SilentServer()
+    {
+        m_socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(bind(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0);
+        socklen_t size = sizeof address;
+        getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &size);
+        port = ntohs(address.sin_port);
+    }
+    ~SilentServer()
+    {
+        shutdown(m_socket, SHUT_RDWR);
+        if (m_thread.joinable())
+            m_thread.join();
+        close(m_socket);
+    }
+    // Answers the first firstAnswers requests of a connection, then closes it when the next one has arrived.
+    void run(int firstAnswers)
+    {
+        REQUIRE(listen(m_socket, 16) == 0);
+        m_thread = std::thread([this, firstAnswers] { serve(firstAnswers); });
+    }
+
+    std::uint16_t port = 0;
+    std::atomic<int> requests = 0;
+
+private:
+    void serve(int answers)
+    {
+        for (;;) {
+            const int connection = accept4(m_socket, nullptr, nullptr, SOCK_CLOEXEC);
+            if (connection < 0)
+                return;
+            char buffer[4096];
+            while (recv(connection, buffer, sizeof buffer, 0) > 0) {
+                ++requests;
+                if (answers-- <= 0)
+                    break;
+                const std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+                send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+            }
+            close(connection);
+        }
+    }
+
+    int m_socket = -1;
+    std::thread m_thread;
+};
+
+} // namespace
+
+// Guards against lost or mixed-up parts of requests and answers.
+TEST_CASE("http request and answer arrive unchanged")
+{
+    HttpServer *raw = nullptr;
+    auto server = HttpServer::start({}, [&raw](HttpCall call, HttpRequest &&request) {
+        HttpAnswer answer{201,
+                          request.method + " " + request.path + "?" + std::string(findField(request.query, "q")) + " "
+                                  + std::string(findField(request.headers, "x-one")) + " " + request.body};
+        answer.headers.emplace_back("X-Two", "2");
+        raw->answer(call, std::move(answer));
+    });
+    REQUIRE(server);
+    raw = server->get();
+    HttpClient client({});
+    const std::string body("a\0b", 3);
+    const HttpResult result = exchange(
+            client,
+            {.method = "POST", .url = makeUrl(raw->port(), "/p%20q?q=r"), .body = body, .headers = {{"X-One", "1"}}});
+    CHECK(result.outcome == HttpOutcome::Answered);
+    CHECK(result.status == 201);
+    CHECK(result.body == "POST /p q?r 1 " + body);
+    CHECK(findField(result.headers, "x-two") == "2");
+}
+
+// Guards against callers that hold a thread each while they wait.
+TEST_CASE("many calls wait at once and are answered later")
+{
+    constexpr int count = 500;
+    std::mutex mutex;
+    std::vector<HttpCall> calls;
+    auto server = HttpServer::start({.threads = 2}, [&](HttpCall call, HttpRequest &&) {
+        const std::lock_guard lock(mutex);
+        calls.push_back(call);
+    });
+    REQUIRE(server);
+    HttpClient client({.maxHostConnections = count});
+    std::atomic<int> answered = 0;
+    for (int i = 0; i < count; ++i) {
+        client.send({.url = makeUrl((*server)->port(), "/"), .timeoutMs = 20000},
+                    [&](HttpResult &&result) { answered += result.status == 200 ? 1 : 0; });
+    }
+    for (;;) {
+        const std::lock_guard lock(mutex);
+        if (calls.size() == count)
+            break;
+    }
+    CHECK(answered == 0);
+    for (const HttpCall call : calls)
+        CHECK((*server)->answer(call, {200, "{}"}));
+    CHECK_FALSE((*server)->answer(calls[0], {200, "{}"}));
+    (*server)->stop(20000);
+    while (client.openRequests() > 0)
+        std::this_thread::yield();
+    CHECK(answered == count);
+}
+
+// Guards against unbounded memory for one request and against limits that drop the connection without an answer.
+TEST_CASE("requests over a bound get 413 or 431 and never reach the handler")
+{
+    std::atomic<int> handled = 0;
+    HttpServer *raw = nullptr;
+    auto server = HttpServer::start({.maxBodyBytes = 1000, .maxHeaderBytes = 2000}, [&](HttpCall call, HttpRequest &&) {
+        ++handled;
+        raw->answer(call, {200, ""});
+    });
+    REQUIRE(server);
+    raw = server->get();
+    HttpClient client({});
+    const std::string url = makeUrl(raw->port(), "/");
+    CHECK(exchange(client, {.method = "POST", .url = url, .body = std::string(1000, 'x')}).status == 200);
+    const HttpResult large = exchange(client, {.method = "POST", .url = url, .body = std::string(1001, 'x')});
+    CHECK(large.status == 413);
+    CHECK(large.body.find("\"place\":\"body\"") != std::string::npos);
+    CHECK(exchange(client, {.url = url, .headers = {{"X-A", std::string(2000, 'x')}}}).status == 431);
+    CHECK(exchange(client, {.url = url, .headers = {{"X-A", std::string(100000, 'x')}}}).status == 431);
+    CHECK(handled == 1);
+}
+
+// Guards against a stop that cuts requests in progress.
+TEST_CASE("stop delivers answers in progress and refuses the rest")
+{
+    std::promise<HttpCall> first;
+    std::atomic<int> handled = 0;
+    auto server = HttpServer::start({}, [&](HttpCall call, HttpRequest &&) {
+        if (++handled == 1)
+            first.set_value(call);
+    });
+    REQUIRE(server);
+    HttpClient client({});
+    std::promise<HttpResult> answered;
+    client.send({.url = makeUrl((*server)->port(), "/")},
+                [&](HttpResult &&result) { answered.set_value(std::move(result)); });
+    const HttpCall call = first.get_future().get();
+    std::promise<HttpResult> refused;
+    client.send({.url = makeUrl((*server)->port(), "/")},
+                [&](HttpResult &&result) { refused.set_value(std::move(result)); });
+    while (handled < 2)
+        std::this_thread::yield();
+    std::thread stopper([&] { (*server)->stop(300); });
+    (*server)->answer(call, {200, std::string(1u << 20, 'y')});
+    CHECK(answered.get_future().get().body.size() == 1u << 20);
+    CHECK(refused.get_future().get().status == 503);
+    stopper.join();
+}
+
+// Guards against waiting calls of clients that have gone holding a connection until their deadline.
+TEST_CASE("calls of closed connections are reported once")
+{
+    std::promise<HttpCall> arrived;
+    auto server = HttpServer::start({}, [&](HttpCall call, HttpRequest &&) { arrived.set_value(call); });
+    REQUIRE(server);
+    HttpClient client({});
+    const HttpResult result = exchange(client, {.url = makeUrl((*server)->port(), "/"), .timeoutMs = 100});
+    CHECK(result.outcome == HttpOutcome::Unknown);
+    const HttpCall call = arrived.get_future().get();
+    std::vector<HttpCall> gone;
+    while (gone.empty())
+        gone = (*server)->takeGone();
+    CHECK(gone == std::vector{call});
+    CHECK((*server)->takeGone().empty());
+    CHECK_FALSE((*server)->answer(call, {200, ""}));
+}
+
+// Guards against "not sent" for requests that may have had an effect, and "unknown" where nothing can have happened.
+TEST_CASE("client tells certainly unsent requests from unknown outcomes")
+{
+    SilentServer server;
+    HttpClient client({});
+    const std::string url = makeUrl(server.port, "/");
+    SECTION("nobody listens")
+    {
+        CHECK(exchange(client, {.method = "POST", .url = url}).outcome == HttpOutcome::NotSent);
+    }
+    SECTION("connection closed after the request")
+    {
+        server.run(0);
+        CHECK(exchange(client, {.method = "POST", .url = url, .body = "x"}).outcome == HttpOutcome::Unknown);
+        CHECK(server.requests == 1);
+    }
+    SECTION("a request on a kept connection is not sent twice")
+    {
+        server.run(1);
+        const std::string body = GENERATE("", "x");
+        CHECK(exchange(client, {.method = "POST", .url = url, .body = body}).status == 200);
+        CHECK(exchange(client, {.method = "POST", .url = url, .body = body}).outcome == HttpOutcome::Unknown);
+        CHECK(server.requests == 2);
+    }
+    SECTION("a repeatable request is sent again")
+    {
+        server.run(1);
+        CHECK(exchange(client, {.url = url, .repeatable = true}).status == 200);
+        CHECK(exchange(client, {.url = url, .repeatable = true}).outcome == HttpOutcome::Unknown);
+        CHECK(server.requests == 3);
+    }
+}
+
+// Guards against requests that wait for a connection and are reported as unknown although nothing was sent.
+TEST_CASE("a request that waited for a free connection was not sent")
+{
+    auto server = HttpServer::start({}, [](HttpCall, HttpRequest &&) {});
+    REQUIRE(server);
+    HttpClient client({.maxHostConnections = 1});
+    const std::string url = makeUrl((*server)->port(), "/");
+    std::promise<HttpOutcome> first;
+    client.send({.url = url, .timeoutMs = 400}, [&](HttpResult &&result) { first.set_value(result.outcome); });
+    CHECK(exchange(client, {.url = url, .timeoutMs = 100}).outcome == HttpOutcome::NotSent);
+    CHECK(first.get_future().get() == HttpOutcome::Unknown);
+}
