--- a/packages/core/messages.h
+++ b/packages/core/messages.h
@@ -196,8 +196,8 @@
 struct ConfigRecords
 {
     std::optional<SnapshotRecord> snapshot;
-    std::vector<LogRecord> records; // ChangeRecords only, ascending, without gaps after the snapshot
-    std::int64_t nextOffset = 0;
+    std::vector<LogRecord> records; // ascending, without gaps; an empty SnapshotRecord in the place of a snapshot
+    std::int64_t nextOffset = 0;    // of the sender; ask again while the own one is lower
 };
 
 // A backend server is leaving; passed on because the VM list lags differently for each reader.
