Add the grant table and the grant planner

The dispatcher needs the owner of a (partition, issue time) pair as a pure fold of the ownership log. The table lets the first grant win, bounds progress by the record time, voids what lies below the horizon and honours the first release of an incarnation. After lost records it trusts nothing that a lost grant may cover. The planner claims the partitions that rendezvous hashing prefers with at most two records a call, and does not follow a clock that is far from the peers' median.

--- a/packages/core/ownership.h
+++ b/packages/core/ownership.h
@@ -3,6 +3,15 @@
 // Contents
 //   OwnershipTable   fold of grants and releases, look-up by (partition, issue time)
 //   GrantPlanner     which partitions this entry VM claims next
+//
+// Rules of the fold, in log order:
+//   - The first grant that covers a (partition, issue time) pair wins; the overlapping part of a later one is void.
+//   - A grant reaches at most maxProgressStepMs past the record time of the log service.
+//   - Issue times below the horizon are void: horizonMs below progress, the largest granted issue time. The part of
+//     a grant that lies horizonMs or more below its own record time is void as well, so that two grants that compete
+//     for an issue time are recorded within horizonMs + maxProgressStepMs of each other. When the log keeps records
+//     for longer than that, a process that starts reads every grant that its own could collide with.
+//   - The first release of an incarnation ends its grants at the stated issue time; later grants of it are void.
 #pragma once
 
 #include "core/messages.h"
@@ -12,6 +21,8 @@
 
 namespace clementinelift::core {
 
+// OwnershipTable ------------------------------------------------------------------------------------
+
 enum class Coverage : std::uint8_t {
     Owned,     // incarnation is set
     TooOld,    // below the dedupe horizon
@@ -35,15 +46,22 @@
     void apply(const GrantRecord &grant, std::int64_t recordTimeMs);
     void apply(const ReleaseRecord &release);
 
-    // Forgets everything; the caller applies the records from the first available one on.
+    // Forgets all intervals; the caller applies the records from the first available one on. Progress and releases
+    // stay. The lost records may hold grants that reach maxProgressStepMs past the first record that is applied
+    // next, so everything below that is too old for this process from then on.
     void reset();
 
     OwnerLookup find(std::uint32_t partition, std::int64_t issueMs) const;
-    std::int64_t coverageEndMs(std::uint32_t partition) const; // end of the last interval, 0: never covered
+    std::int64_t coverageEndMs(std::uint32_t partition) const; // end of the last interval, 0: none above the horizon
     std::int64_t progressMs() const;                           // largest granted issue time, 0: no grant yet
+    std::int64_t floorMs() const;                              // keys issued earlier are too old
     bool isReleased(Incarnation incarnation) const;
     std::size_t intervalCount() const;
 
+    // First issue time at or above sinceMs that nobody owns, not below the first interval of the partition;
+    // 0 when the partition has no interval that ends above sinceMs.
+    std::int64_t firstGapMs(std::uint32_t partition, std::int64_t sinceMs) const;
+
 private:
     struct Interval
     {
@@ -56,6 +74,7 @@
         std::string node;
         std::string address;
         std::int64_t releasedAtMs = -1; // -1: not released
+        std::int64_t lastToMs = 0;      // largest granted issue time
     };
 
     void addInterval(std::vector<Interval> &intervals, Interval added);
@@ -64,19 +83,35 @@
     std::int64_t m_horizonMs;
     std::int64_t m_maxProgressStepMs;
     std::int64_t m_progressMs = 0;
+    std::int64_t m_rebuiltFloorMs = 0;              // see reset()
+    std::int64_t m_droppedBelowMs = 0;              // floor at the last dropBelowHorizon()
+    bool m_isEmpty = true;                          // no record applied since the start or reset()
+    bool m_isRebuilt = false;                       // reset() was called after records had been applied
     std::vector<std::vector<Interval>> m_intervals; // by partition, ascending, not overlapping
     absl::flat_hash_map<Incarnation, Holder> m_holders;
 };
 
+// GrantPlanner --------------------------------------------------------------------------------------
+
 // Plans the grants of one entry VM. Claims partitions that rendezvous hashing over the live entry VMs gives to it.
 class GrantPlanner
 {
 public:
     explicit GrantPlanner(const CoreSettings &settings);
 
-    // Returns the records to append now, one for each distinct start of coverage; empty when nothing is due.
+    // Returns the records to append now; empty when nothing is due. Call it only when the stream was read to its end.
     // live contains the own entry VM. Partitions are split over live by rendezvous hashing on the node names.
-    std::vector<GrantRecord> plan(const OwnershipTable &table, std::span<const NodeInfo> live, Now now);
+    //
+    // A claim starts at the first gap above the horizon, or shortly before the wall clock when the partition has no
+    // coverage there, and reaches grantAheadMs past the wall clock. At most two records per call: partitions
+    // with coverage share one that starts at the earliest gap (the part that is covered already is void), partitions
+    // without coverage share the other. Calls that plan something are at least grantExtendMs / 5 apart, and a
+    // partition is claimed at most once in grantExtendMs / 2, also when an append or the log is slow.
+    //
+    // clockErrorMs is Membership::medianClockErrorMs(). A wall clock further than futureSkewMs from the peers' is not
+    // trusted: claims then follow the peers' median and stay at or below the progress that others have made.
+    std::vector<GrantRecord> plan(const OwnershipTable &table, std::span<const NodeInfo> live, Now now,
+                                  std::int64_t clockErrorMs = 0);
 
     // Stops all further grants and returns the release; atMs is above every issue time accepted so far.
     ReleaseRecord release(std::int64_t atMs);
@@ -84,9 +119,17 @@
     std::int64_t nextPlanUs() const;
 
 private:
+    void rank(std::span<const NodeInfo> live);
+
     const CoreSettings &m_settings;
     std::int64_t m_nextPlanUs = 0;
     bool m_released = false;
+    std::uint64_t m_rankedFor = 0;             // hash of the node names behind m_ranked
+    PartitionSet m_ranked;                     // partitions that this entry VM should claim
+    std::vector<std::int64_t> m_claimableAtUs; // by partition, monotonic: not claimed again before
 };
 
+// Index of the name that rendezvous hashing prefers for a partition. names must not be empty.
+std::size_t preferredOwner(std::span<const NodeInfo> nodes, std::uint32_t partition);
+
 } // namespace clementinelift::core
