--- /dev/null
+++ b/tests/standins/platform.cpp
@@ -0,0 +1,491 @@
+#include "standins/platform.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <cmath>
+
+namespace clementinelift::standins {
+
+namespace {
+
+constexpr std::int64_t usPerMs = 1000;
+constexpr std::int64_t longestSleepUs = 50 * usPerMs;
+constexpr std::size_t defaultReadMax = 1000;
+constexpr std::size_t describedTasks = 10; // doubled tasks that an audit names
+constexpr std::string_view streamsPrefix = "/v1/streams/";
+constexpr std::string_view recordsSuffix = "/records";
+constexpr std::string_view tasksPrefix = "/v1/tasks/";
+
+std::int64_t monotonicUs()
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now().time_since_epoch())
+            .count();
+}
+
+std::int64_t wallMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+            .count();
+}
+
+std::int64_t numberOr(std::string_view text, std::int64_t fallback)
+{
+    std::int64_t value = 0;
+    return absl::SimpleAtoi(absl::string_view(text.data(), text.size()), &value) ? value : fallback;
+}
+
+net::HttpAnswer jsonAnswer(int status, const nlohmann::json &body)
+{
+    return {status, body.dump()};
+}
+
+net::HttpAnswer errorAnswer(int status, std::string_view detail)
+{
+    return jsonAnswer(status, {{"error", "stand-in"}, {"detail", detail}});
+}
+
+net::HttpAnswer endAnswer(const EndedTask &task)
+{
+    return {task.state == EndState::Completed ? 200 : 500,
+            task.result,
+            "text/plain",
+            {{"X-Service-Us", std::to_string(task.serviceUs)}}};
+}
+
+nlohmann::json toJson(const AuditCounts &counts)
+{
+    return {{"starts", counts.starts},
+            {"tasks", counts.tasks},
+            {"doubled", counts.doubled()},
+            {"repeat_never_doubled", counts.repeatNeverDoubled},
+            {"overlap_same_vm", counts.overlapSameVm},
+            {"overlap_other_vm", counts.overlapOtherVm},
+            {"attempts_reused", counts.attemptsReused}};
+}
+
+nlohmann::json toJson(const BackendCounts &counts)
+{
+    return {{"starts", counts.starts},
+            {"completed", counts.completed},
+            {"failed", counts.failed},
+            {"lost", counts.lost},
+            {"busy", counts.busy},
+            {"stops", counts.stops},
+            {"queries", counts.queries},
+            {"probes", counts.probes},
+            {"lease_ends", counts.leaseEnds},
+            {"late_starts", counts.lateStarts},
+            {"most_running", counts.mostRunning}};
+}
+
+std::optional<BackendMode> parseMode(std::string_view text)
+{
+    if (text == "normal")
+        return BackendMode::Normal;
+    if (text == "fail")
+        return BackendMode::FailEverything;
+    if (text == "busy")
+        return BackendMode::Busy;
+    if (text == "crashed")
+        return BackendMode::Crashed;
+    return std::nullopt;
+}
+
+} // namespace
+
+std::vector<BackendSpec> planBackends(const PlatformOptions &options)
+{
+    std::vector<BackendSpec> specs;
+    std::mt19937_64 random(options.seed);
+    std::uniform_real_distribution<double> logSpeed(std::log(options.slowest), std::log(options.fastest));
+    std::vector<std::uint32_t> inZone(options.zones);
+    for (std::uint32_t i = 0; i < options.backends; ++i) {
+        const std::uint32_t zone = i % options.zones;
+        const std::uint32_t rack = inZone[zone]++ / options.perRack;
+        BackendSpec spec;
+        spec.name = "b-" + std::to_string(i + 1);
+        spec.zone = "z" + std::to_string(zone + 1);
+        spec.rack = spec.zone + "-r" + std::to_string(rack + 1);
+        // The feed runs across racks of all zones, so that racks are only a first guess of what fails together.
+        spec.feed = "f" + std::to_string(rack + 1);
+        spec.speed = std::exp(logSpeed(random));
+        spec.slots = options.slots;
+        spec.connections = options.connections;
+        specs.push_back(std::move(spec));
+    }
+    return specs;
+}
+
+Platform::Platform(const PlatformOptions &options)
+    : m_log(options.log), m_pool(planBackends(options), options.stragglers, options.seed),
+      m_list(options.listLagMs * usPerMs), m_calls(options.backends)
+{
+    for (const ListedVm &vm : options.entryVms)
+        m_list.put(vm, monotonicUs());
+}
+
+Platform::~Platform()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    if (m_timer.joinable())
+        m_timer.join();
+    if (m_server)
+        m_server->stop(0);
+    for (auto &server : m_backendServers)
+        server->stop(0);
+}
+
+tl::expected<void, std::string> Platform::start(const std::string &address)
+{
+    m_backendServers.reserve(m_pool.size());
+    for (std::size_t i = 0; i < m_pool.size(); ++i) {
+        net::HttpServerSettings settings;
+        settings.maxConnections = m_pool.spec(i).connections;
+        settings.threads = 1;
+        auto started = net::HttpServer::start(settings, [this, i](net::HttpCall call, net::HttpRequest &&request) {
+            handleBackend(i, call, std::move(request));
+        });
+        if (!started)
+            return tl::unexpected(started.error());
+        const std::lock_guard lock(m_mutex);
+        m_backendServers.push_back(std::move(*started));
+        m_pool.setAddress(i, "127.0.0.1:" + std::to_string(m_backendServers[i]->port()));
+        const BackendSpec &spec = m_pool.spec(i);
+        m_list.put({spec.name, true, spec.address, spec.zone, spec.rack, false, spec.slots, spec.connections,
+                    spec.cores, spec.memoryMb},
+                   monotonicUs());
+    }
+    net::HttpServerSettings settings;
+    settings.address = address;
+    auto started = net::HttpServer::start(settings, [this](net::HttpCall call, net::HttpRequest &&request) {
+        handlePlatform(call, std::move(request));
+    });
+    if (!started)
+        return tl::unexpected(started.error());
+    m_server = std::move(*started);
+    m_timer = std::thread([this] { runTimer(); });
+    return {};
+}
+
+// Platform requests ---------------------------------------------------------------------------------
+
+void Platform::handlePlatform(net::HttpCall call, net::HttpRequest &&request)
+{
+    const std::string_view path = request.path;
+    if (path.starts_with(streamsPrefix) && path.ends_with(recordsSuffix)
+        && path.size() > streamsPrefix.size() + recordsSuffix.size()) {
+        const std::string_view stream =
+                path.substr(streamsPrefix.size(), path.size() - streamsPrefix.size() - recordsSuffix.size());
+        if (request.method == "POST")
+            appendRecord(call, stream, request);
+        else
+            readRecords(call, stream, request);
+        return;
+    }
+    net::HttpAnswer answer = errorAnswer(404, "unknown path");
+    if (path == "/v1/vms")
+        answer = answerVms();
+    else if (path == "/control" && request.method == "POST")
+        answer = answerControl(request.body);
+    else if (path == "/control/audit" && request.method == "POST")
+        answer = answerAudit(request.body);
+    else if (path == "/control") {
+        const std::lock_guard lock(m_mutex);
+        answer = jsonAnswer(200, describe());
+    }
+    m_server->answer(call, std::move(answer));
+}
+
+void Platform::appendRecord(net::HttpCall call, std::string_view stream, const net::HttpRequest &request)
+{
+    net::HttpAnswer answer;
+    {
+        const std::lock_guard lock(m_mutex);
+        const AppendResult result = m_log.append(stream, request.body, monotonicUs(), wallMs());
+        if (result.status == AppendStatus::Appended) {
+            // A lost answer is never sent: the appender runs into its timeout.
+            if (!result.answerLost)
+                m_timedReplies.push_back({result.readyUs, {0, call, jsonAnswer(200, {{"offset", result.offset}})}});
+            m_changed = true;
+            m_wake.notify_all();
+            return;
+        }
+        answer = result.status == AppendStatus::OverLimit ? errorAnswer(429, "over the append limit")
+                                                          : errorAnswer(503, "outage");
+    }
+    m_server->answer(call, std::move(answer));
+}
+
+void Platform::readRecords(net::HttpCall call, std::string_view stream, const net::HttpRequest &request)
+{
+    net::HttpAnswer answer;
+    {
+        const std::lock_guard lock(m_mutex);
+        const std::int64_t nowUs = monotonicUs();
+        WaitingRead read;
+        read.call = call;
+        read.stream = stream;
+        read.from = numberOr(net::findField(request.query, "from"), 0);
+        read.max = static_cast<std::size_t>(numberOr(net::findField(request.query, "max"), defaultReadMax));
+        read.untilUs = nowUs + numberOr(net::findField(request.query, "wait_ms"), 0) * usPerMs;
+        if (read.untilUs > nowUs && !m_log.isOut(nowUs) && !m_log.hasRecord(stream, read.from, nowUs)) {
+            m_reads.push_back(std::move(read));
+            m_changed = true;
+            m_wake.notify_all();
+            return;
+        }
+        answer = answerRead(read, nowUs);
+    }
+    m_server->answer(call, std::move(answer));
+}
+
+net::HttpAnswer Platform::answerRead(const WaitingRead &read, std::int64_t nowUs)
+{
+    const auto result = m_log.read(read.stream, read.from, read.max, nowUs, wallMs());
+    if (!result)
+        return errorAnswer(503, "outage");
+    nlohmann::json records = nlohmann::json::array();
+    for (const StoredRecord &record : result->records)
+        records.push_back(
+                {{"offset", record.offset}, {"time_ms", record.timeMs}, {"data", absl::Base64Escape(record.data)}});
+    return jsonAnswer(200, {{"first_available", result->firstAvailable}, {"end", result->end}, {"records", records}});
+}
+
+net::HttpAnswer Platform::answerVms()
+{
+    const std::lock_guard lock(m_mutex);
+    const std::int64_t nowUs = monotonicUs();
+    nlohmann::json vms = nlohmann::json::array();
+    for (const ListedVm &vm : m_list.read(nowUs)) {
+        nlohmann::json entry = {{"name", vm.name},
+                                {"role", vm.isBackend ? "backend" : "entry"},
+                                {"address", vm.address},
+                                {"zone", vm.zone},
+                                {"state", vm.leaving ? "leaving" : "live"}};
+        if (vm.isBackend) {
+            entry["rack"] = vm.rack;
+            entry["slots"] = vm.slots;
+            entry["connections"] = vm.connections;
+            entry["cores"] = vm.cores;
+            entry["memory_mb"] = vm.memoryMb;
+            if (vm.leaving)
+                m_pool.markListedAsLeaving(*m_pool.find(vm.name), nowUs);
+        }
+        vms.push_back(std::move(entry));
+    }
+    return jsonAnswer(200, {{"vms", vms}});
+}
+
+// Control -------------------------------------------------------------------------------------------
+
+net::HttpAnswer Platform::answerControl(const std::string &body)
+{
+    const auto command = nlohmann::json::parse(body, nullptr, false);
+    if (!command.is_object())
+        return errorAnswer(400, "the body must be a JSON object");
+    const std::lock_guard lock(m_mutex);
+    std::string error;
+    try {
+        error = applyControl(command, monotonicUs());
+    } catch (const nlohmann::json::exception &exception) {
+        error = exception.what();
+    }
+    m_changed = true;
+    m_wake.notify_all();
+    return error.empty() ? jsonAnswer(200, {{"ok", true}}) : errorAnswer(400, error);
+}
+
+std::string Platform::applyControl(const nlohmann::json &command, std::int64_t nowUs)
+{
+    const std::string operation = command.at("op").get<std::string>();
+    const std::int64_t untilUs = nowUs + command.value("for_ms", std::int64_t{0}) * usPerMs;
+    const std::string name = command.value("name", "");
+    if (operation == "feed") {
+        const FeedDip dip{command.value("slowdown", FeedDip{}.slowdown), command.value("fail", 0.0), untilUs};
+        return m_pool.changeFeed(command.value("group", ""), dip, nowUs) > 0 ? "" : "no such feed group";
+    }
+    if (operation == "log_outage") {
+        m_log.beginOutage(untilUs);
+        return {};
+    }
+    if (operation == "log_lost_answers") {
+        m_log.loseAnswers(command.at("share").get<double>(), untilUs);
+        return {};
+    }
+    if (operation == "log_sync") {
+        m_log.changeSyncTime(command.at("sync_ms").get<std::int64_t>() * usPerMs);
+        return {};
+    }
+    if (operation == "backend") {
+        const auto backend = m_pool.find(name);
+        const auto mode = parseMode(command.at("mode").get<std::string>());
+        if (!backend || !mode)
+            return "no such backend server or mode";
+        m_pool.changeMode(*backend, *mode, nowUs);
+        return {};
+    }
+    if (operation == "leaving") {
+        m_list.markLeaving(name, nowUs);
+        return {};
+    }
+    if (operation == "remove") {
+        m_list.remove(name, nowUs);
+        return {};
+    }
+    if (operation == "entry") {
+        m_list.put({name, false, command.at("address").get<std::string>(), command.at("zone").get<std::string>(), {}},
+                   nowUs);
+        return {};
+    }
+    return "unknown operation " + operation;
+}
+
+net::HttpAnswer Platform::answerAudit(const std::string &body)
+{
+    const auto request = nlohmann::json::parse(body, nullptr, false);
+    if (!request.is_object())
+        return errorAnswer(400, "the body must be a JSON object");
+    const std::lock_guard lock(m_mutex);
+    nlohmann::json answer = toJson(m_pool.audit().counts());
+    answer["running"] = m_pool.running();
+    answer["doubled_tasks"] = m_pool.audit().describeDoubled(describedTasks);
+    nlohmann::json started = nlohmann::json::array();
+    for (const auto &job : request.value("jobs", nlohmann::json::array())) {
+        if (job.is_string() && m_pool.audit().startedTasks(job.get<std::string>()) > 0)
+            started.push_back(job);
+    }
+    answer["started_jobs"] = started;
+    return jsonAnswer(200, answer);
+}
+
+nlohmann::json Platform::describe() const
+{
+    nlohmann::json backends = nlohmann::json::array();
+    for (std::size_t i = 0; i < m_pool.size(); ++i) {
+        const BackendSpec &spec = m_pool.spec(i);
+        nlohmann::json entry = toJson(m_pool.counts(i));
+        entry["name"] = spec.name;
+        entry["address"] = spec.address;
+        entry["zone"] = spec.zone;
+        entry["rack"] = spec.rack;
+        entry["feed"] = spec.feed;
+        entry["speed"] = spec.speed;
+        backends.push_back(std::move(entry));
+    }
+    const LogCounts &log = m_log.counts();
+    return {{"audit", toJson(m_pool.audit().counts())},
+            {"totals", toJson(m_pool.totals())},
+            {"running", m_pool.running()},
+            {"slots", m_pool.totalSlots()},
+            {"log",
+             {{"appended", log.appended},
+              {"over_limit", log.overLimit},
+              {"refused_in_outage", log.refusedInOutage},
+              {"answers_lost", log.answersLost},
+              {"reads", log.reads}}},
+            {"backends", backends}};
+}
+
+// Backend requests ----------------------------------------------------------------------------------
+
+void Platform::handleBackend(std::size_t backend, net::HttpCall call, net::HttpRequest &&request)
+{
+    const std::string_view path = request.path;
+    net::HttpAnswer answer = errorAnswer(404, "unknown path");
+    {
+        const std::lock_guard lock(m_mutex);
+        const std::int64_t nowUs = monotonicUs();
+        if (path == "/healthz") {
+            const auto healthy = m_pool.probe(backend);
+            if (!healthy)
+                return; // a crashed backend server answers nothing
+            answer = *healthy ? jsonAnswer(200, {{"healthy", true}}) : errorAnswer(503, "unhealthy");
+        } else if (path.starts_with(tasksPrefix)) {
+            const std::string attempt(path.substr(tasksPrefix.size()));
+            if (request.method == "GET") {
+                const KnownAttempt known = m_pool.query(backend, attempt);
+                answer = jsonAnswer(200, {{"state", known.state}, {"result", known.result}});
+            } else if (request.method == "DELETE") {
+                const bool stopped = m_pool.stop(backend, attempt, nowUs);
+                m_changed = true;
+                m_wake.notify_all();
+                answer = jsonAnswer(200, {{"stopped", stopped}});
+            } else {
+                const std::int64_t leaseUs = numberOr(net::findField(request.headers, "X-Lease-Ms"), 0) * usPerMs;
+                const StartStatus status = m_pool.start(backend, attempt, request.body, leaseUs, nowUs);
+                if (status == StartStatus::Started) {
+                    m_calls[backend].insert_or_assign(attempt, call);
+                    m_changed = true;
+                    m_wake.notify_all();
+                }
+                if (status != StartStatus::Busy)
+                    return; // answered at the end of the task, or never
+                answer = {503, "busy", "text/plain", {{"X-Not-Started", "busy"}}};
+            }
+        }
+    }
+    m_backendServers[backend]->answer(call, std::move(answer));
+}
+
+// Timer ---------------------------------------------------------------------------------------------
+
+void Platform::runTimer()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        const std::int64_t nowUs = monotonicUs();
+        std::vector<Reply> replies;
+        m_changed = false;
+        const std::int64_t nextUs = collectDue(nowUs, replies);
+        if (!replies.empty()) {
+            lock.unlock();
+            deliver(replies);
+            lock.lock();
+            continue;
+        }
+        const auto sleep = std::chrono::microseconds(std::clamp<std::int64_t>(nextUs - nowUs, 0, longestSleepUs));
+        m_wake.wait_for(lock, sleep, [this] { return m_stopping || m_changed; });
+    }
+}
+
+std::int64_t Platform::collectDue(std::int64_t nowUs, std::vector<Reply> &replies)
+{
+    for (const EndedTask &task : m_pool.advance(nowUs)) {
+        const auto call = m_calls[task.backend].extract(task.attempt);
+        if (!call.empty() && task.state != EndState::Lost)
+            replies.push_back({task.backend + 1, call.mapped(), endAnswer(task)});
+    }
+    std::int64_t nextUs = m_pool.nextEndUs();
+    std::erase_if(m_timedReplies, [&](TimedReply &timed) {
+        if (timed.atUs > nowUs) {
+            nextUs = std::min(nextUs, timed.atUs);
+            return false;
+        }
+        replies.push_back(std::move(timed.reply));
+        return true;
+    });
+    std::erase_if(m_reads, [&](const WaitingRead &read) {
+        if (read.untilUs > nowUs && !m_log.isOut(nowUs) && !m_log.hasRecord(read.stream, read.from, nowUs)) {
+            nextUs = std::min(nextUs, read.untilUs);
+            return false;
+        }
+        replies.push_back({0, read.call, answerRead(read, nowUs)});
+        return true;
+    });
+    return nextUs;
+}
+
+void Platform::deliver(std::vector<Reply> &replies)
+{
+    for (Reply &reply : replies)
+        server(reply.server).answer(reply.call, std::move(reply.answer));
+}
+
+} // namespace clementinelift::standins
