Keep the largest progress step of a grant below half of the horizon

Cause: with a step of 1 h and a horizon of 10 min, one entry VM with a wrong clock could raise the progress of the log by 50 minutes more than the horizon, and every key of the others would have been refused as too old. Change: default step 2 min, settings check step > grant_ahead and 2 x step <= horizon, design says that both are fleet-wide.

--- a/packages/config/settings.cpp
+++ b/packages/config/settings.cpp
@@ -206,7 +206,7 @@
     reader.readNumber<std::int64_t>("grant_ahead_ms", core.grantAheadMs, 1 * msPerS, 10 * msPerMinute);
     reader.readNumber<std::int64_t>("grant_extend_ms", core.grantExtendMs, 100, msPerMinute);
     reader.readNumber<std::int64_t>("dedupe_horizon_ms", core.dedupeHorizonMs, 10 * msPerS, msPerDay);
-    reader.readNumber<std::int64_t>("max_progress_step_ms", core.maxProgressStepMs, msPerMinute, msPerDay);
+    reader.readNumber<std::int64_t>("max_progress_step_ms", core.maxProgressStepMs, msPerS, msPerDay);
     reader.readNumber<std::int64_t>("future_skew_ms", core.futureSkewMs, 0, msPerMinute);
     reader.readNumber<std::int64_t>("drain_linger_ms", core.drainLingerMs, 0, 10 * msPerMinute);
     reader.readNumber<std::int64_t>("probe_interval_ms", core.probeIntervalMs, 20, 10 * msPerS);
@@ -220,8 +220,10 @@
                  "future_skew_ms must be below grant_ahead_ms");
     requireOrder(reader, 2 * core.dedupeHorizonMs <= core.logRetentionMs, "dedupe_horizon_ms", "log_retention_ms",
                  "dedupe_horizon_ms must be at most half of log_retention_ms");
-    requireOrder(reader, core.grantAheadMs < core.dedupeHorizonMs, "dedupe_horizon_ms", "grant_ahead_ms",
-                 "dedupe_horizon_ms must exceed grant_ahead_ms");
+    requireOrder(reader, core.grantAheadMs < core.maxProgressStepMs, "max_progress_step_ms", "grant_ahead_ms",
+                 "max_progress_step_ms must exceed grant_ahead_ms");
+    requireOrder(reader, 2 * core.maxProgressStepMs <= core.dedupeHorizonMs, "max_progress_step_ms",
+                 "dedupe_horizon_ms", "max_progress_step_ms must be at most half of dedupe_horizon_ms");
     requireOrder(reader, core.probeIntervalMs <= core.suspectMs, "probe_interval_ms", "suspect_ms",
                  "probe_interval_ms must not exceed suspect_ms");
     reader.finish();
--- a/packages/core/parameters.h
+++ b/packages/core/parameters.h
@@ -57,7 +57,7 @@
     std::int64_t grantAheadMs = 30000;         // grants reach this far past the wall clock
     std::int64_t grantExtendMs = 5000;         // time between extensions
     std::int64_t dedupeHorizonMs = 600000;     // issue time kept below the largest granted one
-    std::int64_t maxProgressStepMs = 3600000;  // a grant may reach at most this far past the record time
+    std::int64_t maxProgressStepMs = 120000;   // a grant may reach at most this far past the record time
     std::int64_t futureSkewMs = 5000;          // keys further in the future are refused
     std::uint32_t maxRememberedKeys = 2000000; // entries in the dedupe table
     std::uint64_t maxAnswerBytes = 256u << 20; // bytes of stored answers
--- a/tests/unit/config/settings_test.cpp
+++ b/tests/unit/config/settings_test.cpp
@@ -37,7 +37,7 @@
             "max_frame_bytes = 100000\nmax_queued_tasks = 7\nmax_remembered_keys = 8\nmax_answer_bytes = 1048577\n"
             "trace_jobs = 9\nsnapshot_every = 10\n"
             "[timing]\ngrant_ahead_ms = 9000\ngrant_extend_ms = 1001\ndedupe_horizon_ms = 20000\n"
-            "max_progress_step_ms = 60001\nfuture_skew_ms = 1002\ndrain_linger_ms = 1003\nprobe_interval_ms = 104\n"
+            "max_progress_step_ms = 9501\nfuture_skew_ms = 1002\ndrain_linger_ms = 1003\nprobe_interval_ms = 104\n"
             "suspect_ms = 1005\nreport_interval_ms = 106\nforward_timeout_ms = 107\nlog_retention_ms = 60002\n"
             "[log]\nlevel = debug\n[tool]\nentry_vms = e-1@127.0.0.1:7001\n");
     REQUIRE(settings);
@@ -69,7 +69,7 @@
     CHECK(settings->core.grantAheadMs == 9000);
     CHECK(settings->core.grantExtendMs == 1001);
     CHECK(settings->core.dedupeHorizonMs == 20000);
-    CHECK(settings->core.maxProgressStepMs == 60001);
+    CHECK(settings->core.maxProgressStepMs == 9501);
     CHECK(settings->core.futureSkewMs == 1002);
     CHECK(settings->core.drainLingerMs == 1003);
     CHECK(settings->core.probeIntervalMs == 104);
@@ -117,6 +117,8 @@
             {"[timing]\ndedupe_horizon_ms = 1800001", "timing.dedupe_horizon_ms"},
             {"[timing]\ndedupe_horizon_ms = 20000", "timing.dedupe_horizon_ms"},
             {"[timing]\nmax_progress_step_ms = 1", "timing.max_progress_step_ms"},
+            {"[timing]\nmax_progress_step_ms = 30000", "timing.max_progress_step_ms"},
+            {"[timing]\nmax_progress_step_ms = 400000", "timing.max_progress_step_ms"},
             {"[timing]\nfuture_skew_ms = 40000", "timing.future_skew_ms"},
             {"[timing]\ndrain_linger_ms = -1", "timing.drain_linger_ms"},
             {"[timing]\nprobe_interval_ms = 3000", "timing.probe_interval_ms"},
