--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -16,14 +16,14 @@
 constexpr char usage[] = R"(Simulated services and callers for tests of clementinelift.
 
 Usage:
-  clementinelift-standins serve [options] [--entry=SPEC]...
-  clementinelift-standins load --platform=ADDRESS (--to=ADDRESS)... [options]
+  clementinelift-standins serve [options]
+  clementinelift-standins load --platform=ADDRESS --to=LIST [options]
   clementinelift-standins (-h | --help)
 
-Options of serve:
+Serve options:
   --listen=ADDRESS        Platform and control server [default: 127.0.0.1:0].
   --port-file=FILE        Write the port of the platform server to FILE when all servers listen.
-  --entry=SPEC            Entry VM in the VM list: NAME,ADDRESS,ZONE.
+  --entry=LIST            Entry VMs in the VM list: NAME,ADDRESS,ZONE;NAME,ADDRESS,ZONE...
   --backends=N            Backend servers [default: 50].
   --zones=N               Availability zones [default: 3].
   --per-rack=N            Backend servers of a rack [default: 8].
@@ -35,9 +35,9 @@
   --retention-ms=N        Age at which records are dropped [default: 3600000].
   --stragglers=SHARE      Share of the tasks that run 8 times longer [default: 0.005].
 
-Options of load:
+Load options:
   --platform=ADDRESS      Platform server of the stand-ins.
-  --to=ADDRESS            Caller interface of an entry VM.
+  --to=LIST               Caller interfaces of the entry VMs: ADDRESS,ADDRESS...
   --organisations=LIST    Names [default: north,south,west].
   --templates=LIST        NAME:never or NAME:allowed [default: reorder:never,quote:allowed].
   --jobs=N                Jobs in all [default: 1000].
@@ -102,7 +102,9 @@
     options.log.retentionMs = number(arguments, "--retention-ms");
     options.seed = static_cast<std::uint64_t>(number(arguments, "--seed"));
     options.log.seed = options.seed;
-    for (const std::string &spec : arguments.at("--entry").asStringList()) {
+    if (!arguments.at("--entry"))
+        return options;
+    for (const std::string &spec : split(text(arguments, "--entry"), ';')) {
         const auto parts = split(spec, ',');
         if (parts.size() != 3)
             throw std::invalid_argument("--entry=" + spec + ": NAME,ADDRESS,ZONE expected");
@@ -121,7 +123,7 @@
             throw std::invalid_argument("--templates: " + entry + ": NAME:never or NAME:allowed expected");
         options.templates.push_back({parts[0], parts[1] == "allowed"});
     }
-    options.entryVms = arguments.at("--to").asStringList().size();
+    options.entryVms = split(text(arguments, "--to"), ',').size();
     options.jobs = static_cast<std::uint32_t>(number(arguments, "--jobs"));
     options.jobsPerS = decimal(arguments, "--rate");
     options.maxTasks = static_cast<std::uint32_t>(number(arguments, "--max-tasks"));
@@ -171,7 +173,7 @@
     try {
         if (arguments.at("serve").asBool())
             return serve(arguments);
-        return runLoad(loadOptions(arguments), {arguments.at("--to").asStringList(), text(arguments, "--platform")});
+        return runLoad(loadOptions(arguments), {split(text(arguments, "--to"), ','), text(arguments, "--platform")});
     } catch (const std::exception &exception) {
         std::cerr << "stand-ins: " << exception.what() << '\n';
         return 2;
