--- a/packages/core/dispatcher_streams.cpp
+++ b/packages/core/dispatcher_streams.cpp
@@ -188,13 +188,12 @@
 {
     if (!config.isKnown() || configDown || draining || config.nextOffset() == 0)
         return;
-    if (lastSnapshotUs == 0)
-        lastSnapshotUs = step.now.monoUs;
-    const std::int64_t ageUs = step.now.monoUs - lastSnapshotUs;
-    const bool due =
-            config.recordsSinceSnapshot() > settings.snapshotEvery || ageUs > settings.logRetentionMs / 2 * usPerMs;
-    if (!due)
+    const std::int64_t snapshotMs = config.snapshotTimeMs();
+    const bool isOld = snapshotMs > 0 && step.now.wallMs - snapshotMs > settings.logRetentionMs / 2;
+    if (!isOld && config.recordsSinceSnapshot() <= settings.snapshotEvery) {
+        snapshotDueUs = 0;
         return;
+    }
     if (snapshotDueUs == 0) {
         snapshotDueUs = step.now.monoUs + static_cast<std::int64_t>(random() % snapshotSpreadUs);
         return;
