--- a/packages/core/dispatcher_streams.cpp
+++ b/packages/core/dispatcher_streams.cpp
@@ -130,7 +130,8 @@
     }
     config.apply(record);
     if (config.generation() != generation) {
-        noteTemplates(jumped ? 0 : record.timeMs);
+        // What was in the log before the start of this process is known everywhere.
+        noteTemplates(jumped || !config.isKnown() ? 0 : record.timeMs);
         step.notice(NoticeLevel::Info, "config", absl::StrCat("parameters changed, next=", config.nextOffset()));
     }
     return jumped;
