--- a/packages/core/scheduler.h
+++ b/packages/core/scheduler.h
@@ -4,10 +4,12 @@
 // Contents
 //   Tickets      what the scheduler knows of a task
 //   Decisions    what it wants done
-//   Counters     one per refusal, drop and retry reason, and per kind of message
+//   Counters     one per drop and retry reason, and per kind of message
+//   Status       what operators see of backend servers
 //   Scheduler    the state machine
 #pragma once
 
+#include "core/breaker.h"
 #include "core/configuration.h"
 #include "core/events.h"
 
@@ -71,6 +73,43 @@
     Retry, // the scheduler has queued the task again
 };
 
+// Counters ------------------------------------------------------------------------------------------
+
+// Totals since the start of the process.
+struct SchedulerCounters
+{
+    std::uint64_t firstAttempts = 0;
+    std::array<std::uint64_t, static_cast<std::size_t>(RetryReason::Count)> retries{}; // by reason
+    std::array<std::uint64_t, static_cast<std::size_t>(Reason::Count)> drops{};        // by reason
+    std::uint64_t slotRequests = 0;                                                    // sent to peers
+    std::uint64_t slotsRefused = 0;  // answers to own requests: none; wasted messages
+    std::uint64_t slotsBorrowed = 0; // attempts on borrowed slots
+    std::uint64_t grantsUnused = 0;  // returned without an attempt; wasted messages
+    std::uint64_t requestsTimedOut = 0;
+    std::uint64_t slotsLent = 0;
+    std::uint64_t loansExpired = 0; // lent slots that were not returned in time
+    std::uint64_t probes = 0;       // active health probes
+    std::uint64_t breakerTrips = 0; // breakers of backend servers that opened
+    std::uint64_t groupCorrections = 0;
+};
+
+// Status --------------------------------------------------------------------------------------------
+
+struct BackendStatus
+{
+    std::string_view name;
+    std::uint32_t held = 0;     // slots dealt to this entry VM
+    std::uint32_t used = 0;     // with an own task
+    std::uint32_t lent = 0;     // to peers
+    std::uint32_t attempts = 0; // own ones in progress, on held and borrowed slots
+    double factor = 0;          // learned time per success, 1: average
+    std::uint32_t group = 0;    // backend servers that fail together have the same number
+    BreakerState breaker = BreakerState::Closed;
+    BreakerState groupBreaker = BreakerState::Closed;
+    bool leaving = false;
+    bool gone = false;
+};
+
 // Scheduler -----------------------------------------------------------------------------------------
 
 class Scheduler
@@ -112,6 +151,10 @@
     std::optional<BackendId> findBackend(std::string_view name) const;
     bool isGone(BackendId id) const; // the VM list no longer has it
 
+    const SchedulerCounters &counters() const;
+    std::size_t queuedTasks() const;
+    std::vector<BackendStatus> status() const; // ascending by id
+
 private:
     struct State;
     std::unique_ptr<State> m_state;
--- /dev/null
+++ b/packages/core/slots.h
@@ -0,0 +1,107 @@
+// What the scheduler keeps about jobs, peers and slots on loan.
+//
+// Contents
+//   Jobs     tasks of one job and their phases
+//   Peers    headroom reports of other entry VMs
+//   Loans    slots lent to peers and requests sent to them
+//   Alarms   ordered times at which something is due
+#pragma once
+
+#include "core/limits.h"
+#include "core/routing.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <queue>
+
+namespace clementinelift::core {
+
+// Jobs ----------------------------------------------------------------------------------------------
+
+enum class TaskPhase : std::uint8_t {
+    Queued,    // may start
+    Delayed,   // backoff before a further attempt
+    Requested, // a slot request is on its way
+    Running,   // an attempt is in progress
+    Ended,     // no further attempt
+};
+
+struct ScheduledTask
+{
+    double declaredUs = 0;
+    float cores = 0;
+    std::uint32_t memoryMb = 0;
+    TaskPhase phase = TaskPhase::Queued;
+    RetryReason retry = RetryReason::Count; // why the next attempt is made, Count: it is the first
+    std::uint32_t attempts = 0;             // started
+    std::uint32_t failures = 0;             // ended as Failed
+    std::uint32_t denials = 0;              // of the retry budget, in a row
+    BackendId backend{};                    // Running
+    std::int64_t startUs = 0;               // Running
+    std::uint64_t request = 0;              // Requested, and Running on a borrowed slot: id of the request
+};
+
+struct ScheduledJob
+{
+    FairQueue::Place place;
+    TemplateId templateId{};
+    bool closed = false; // no further attempt may start
+    std::vector<ScheduledTask> tasks;
+    std::vector<std::uint32_t> queued; // indices of Queued tasks, next one last
+    std::uint32_t open = 0;            // tasks that have not ended
+};
+
+inline TaskShape shapeOf(const ScheduledJob &job, const ScheduledTask &task)
+{
+    return TaskShape{job.templateId, task.declaredUs, task.cores, task.memoryMb};
+}
+
+// Peers ---------------------------------------------------------------------------------------------
+
+struct PeerHeadroom
+{
+    std::string zone;
+    std::int64_t roundTripUs = 0;
+    std::uint32_t freeSlots = 0; // of the last report, less what was asked for since
+    double bestFactor = 0;       // time per success over declared time, of the fastest free slot
+    std::int64_t reportUs = -1;  // -1: none yet
+};
+
+// Loans ---------------------------------------------------------------------------------------------
+
+struct SlotLoan // lent to a peer
+{
+    BackendId backend{};
+    TaskShape shape;
+    std::int64_t startUs = 0;
+    std::int64_t endsUs = 0;
+};
+
+struct OpenRequest // sent to a peer
+{
+    std::string node;
+    TaskRef task;
+    bool wanted = true; // false: the task has gone, the grant may serve another one
+    bool granted = false;
+};
+
+// Alarms --------------------------------------------------------------------------------------------
+
+enum class AlarmKind : std::uint8_t { TaskDue, JobDeadline, RequestTimeout, LoanEnd, BackendUnblock, OrganisationRate };
+
+struct Alarm
+{
+    std::int64_t atUs = 0;
+    std::uint64_t sequence = 0; // keeps alarms for the same time in the order of their creation
+    AlarmKind kind{};
+    TaskRef task;             // TaskDue, JobDeadline
+    std::uint64_t number = 0; // request id, backend id or organisation id
+    std::string node;         // LoanEnd: borrower
+
+    friend bool operator<(const Alarm &a, const Alarm &b) // the earliest one on top of a heap
+    {
+        return std::pair(a.atUs, a.sequence) > std::pair(b.atUs, b.sequence);
+    }
+};
+
+} // namespace clementinelift::core
