Close a redundant peer link only after both sides have said bye

Frames that arrived while a duplicate link was closing were lost: the test of two nodes that connect to each other failed in 3 of 33 runs. Each side now sends bye as its last frame on the link that is given up and closes it when the bye of the peer has arrived. 60 runs of the link tests pass.

--- a/packages/net/peer_link.cpp
+++ b/packages/net/peer_link.cpp
@@ -59,6 +59,13 @@
     return found != map.end() ? found->get_ptr<const std::string *>() : nullptr;
 }
 
+std::string writeBye()
+{
+    std::string bytes;
+    Json::to_cbor(Json{{"t", "bye"}}, bytes);
+    return bytes;
+}
+
 std::string writeHello(const PeerLinkSettings &settings)
 {
     const PeerIdentity &self = settings.self;
@@ -134,8 +141,10 @@
     bool dialled = false; // opened by this side
     bool greeted = false; // the peer's hello was checked
     bool closing = false;
-    PeerIdentity peer;       // once greeted
-    std::string dialAddress; // of dialled links
+    bool retired = false;     // bye was sent: another link to the peer is in use
+    bool peerRetired = false; // bye was received
+    PeerIdentity peer;        // once greeted
+    std::string dialAddress;  // of dialled links
 };
 
 // A node to which a link has to be kept.
@@ -154,6 +163,7 @@
     PeerLinkSettings settings;
     PeerLinkHandlers handlers;
     std::string hello;
+    std::string bye = writeBye();
     Io io;
     ServerEndpoint server;
     ClientEndpoint client;
@@ -174,7 +184,8 @@
     void onClosed(const Handle &handle, bool frameRefused);
     void onMessage(const Handle &handle, bool binary, const std::string &bytes);
     void greet(const Handle &handle, Link &link, const std::string &bytes);
-    void use(const Handle &handle, const Link &link);
+    void use(const Handle &handle, Link &link);
+    void retire(const Handle &handle, Link &link);
     void write(const Handle &handle, const Link &link, const std::string &bytes);
     void close(const Handle &handle, Link &link, close_status::value code);
     void dial(const std::string &address);
@@ -295,6 +306,10 @@
         close(handle, link, close_status::unsupported_data);
     } else if (!link.greeted) {
         greet(handle, link, bytes);
+    } else if (bytes == bye) {
+        link.peerRetired = true;
+        if (link.retired)
+            close(handle, link, close_status::normal);
     } else {
         handlers.received(link.peer, std::string(bytes));
     }
@@ -328,7 +343,7 @@
 }
 
 // Decides between two links of one pair of nodes; both sides come to the same result.
-void PeerLinks::State::use(const Handle &handle, const Link &link)
+void PeerLinks::State::use(const Handle &handle, Link &link)
 {
     const auto [used, isFirst] = peers.emplace(link.peer.node, handle);
     if (isFirst) {
@@ -339,17 +354,29 @@
     const bool isSameProcess = old != links.end() && old->second.peer.incarnation == link.peer.incarnation;
     if (isSameProcess) {
         const bool keepDialled = settings.self.node < link.peer.node;
-        if (link.dialled != keepDialled && old->second.dialled == keepDialled) {
-            close(handle, links.find(handle)->second, close_status::normal);
+        if (link.dialled != keepDialled && old->second.dialled == keepDialled && !old->second.peerRetired) {
+            retire(handle, link);
             return;
         }
     }
     const Handle replaced = used->second;
     used->second = handle;
-    if (old != links.end())
-        close(replaced, old->second, close_status::normal);
-    if (!isSameProcess)
+    if (isSameProcess) {
+        retire(replaced, old->second);
+    } else {
+        if (old != links.end())
+            close(replaced, old->second, close_status::normal);
         handlers.connected(link.peer);
+    }
+}
+
+// Frames that arrive while a link is closing are lost, so a link is closed only when both sides have said bye on it.
+void PeerLinks::State::retire(const Handle &handle, Link &link)
+{
+    link.retired = true;
+    write(handle, link, bye);
+    if (link.peerRetired)
+        close(handle, link, close_status::normal);
 }
 
 void PeerLinks::State::write(const Handle &handle, const Link &link, const std::string &bytes)
@@ -373,10 +400,10 @@
     }
 }
 
-// Frames that were sent before are still delivered. Frames that arrive later are ignored only when hello was refused.
+// Frames that were sent before are still delivered; frames that arrive later are not.
 void PeerLinks::State::close(const Handle &handle, Link &link, close_status::value code)
 {
-    link.closing = !link.greeted || code != close_status::normal;
+    link.closing = true;
     websocketpp::lib::error_code ignored;
     link.dialled ? client.close(handle, code, "", ignored) : server.close(handle, code, "", ignored);
 }
--- a/packages/net/peer_link.h
+++ b/packages/net/peer_link.h
@@ -6,7 +6,7 @@
 //
 // Both sides begin with hello (docs/protocols.md, section 6). A wrong secret, another protocol version, a malformed
 // hello or a frame over the bound closes the link and is counted. When both nodes connect to each other at once, the
-// link that was opened by the node with the smaller name stays.
+// link that was opened by the node with the smaller name stays; no frame is lost by that.
 //
 // This header needs C++17 only: the websocketpp headers do not compile as C++20 with g++ 12.
 //
