--- /dev/null
+++ b/tests/process/cluster.sh
@@ -0,0 +1,181 @@
+# Runs stand-ins and entry VMs as processes on loopback; sourced by scripts/demo, scripts/measure-processes and the tests.
+#
+# Every process is started in the background, remembered by its id in pids[NAME], and stopped by that id when the shell
+# exits, also after a failure. Ports are taken from a random range below the ephemeral ports and checked first, so that
+# parallel runs do not collide.
+
+root=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
+bin=${BIN_DIR:-$root/build/bin}
+run_dir=
+platform=      # ip:port of the stand-ins
+entry_names=() # e-1 e-2 ...
+declare -A pids caller_address peer_address zone_of
+organisations=north,south,west
+templates=reorder:never,quote:allowed
+
+now_ms() { date +%s%3N; }
+
+fail()
+{
+    echo "failed: $*" >&2
+    exit 1
+}
+
+# Prints COUNT free ports. A port that accepts a connection is taken.
+free_ports()
+{
+    local count=$1 port
+    while [ "$count" -gt 0 ]; do
+        port=$((10000 + (RANDOM * 32768 + RANDOM) % 22000))
+        if ! (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+            echo "$port"
+            count=$((count - 1))
+        fi
+    done
+}
+
+# Waits up to SECONDS until COMMAND succeeds.
+wait_until()
+{
+    local limit=$(($(now_ms) + $1 * 1000))
+    shift
+    until "$@"; do
+        [ "$(now_ms)" -lt "$limit" ] || return 1
+        sleep 0.05
+    done
+}
+
+process_gone() { ! kill -0 "$1" 2>/dev/null; }
+
+# Sends SIGNAL to process NAME and waits for its end; kills it after 10 s. Returns its exit code.
+stop_process()
+{
+    local name=$1 signal=${2:-TERM} pid=${pids[$1]:-} code=0
+    [ -n "$pid" ] || return 0
+    kill -CONT "$pid" 2>/dev/null || true
+    kill "-$signal" "$pid" 2>/dev/null || true
+    wait_until "${STOP_SECONDS:-10}" process_gone "$pid" || kill -KILL "$pid" 2>/dev/null || true
+    wait "$pid" 2>/dev/null || code=$?
+    unset "pids[$name]"
+    return $code
+}
+
+# Stops everything that this shell has started. Entry VMs get no time to drain here.
+stop_all()
+{
+    local name
+    for name in "${!pids[@]}"; do
+        kill -CONT "${pids[$name]}" 2>/dev/null || true
+        kill -KILL "${pids[$name]}" 2>/dev/null || true
+    done
+    for name in "${!pids[@]}"; do
+        wait "${pids[$name]}" 2>/dev/null || true
+    done
+    pids=()
+    [ -n "${KEEP_RUN_DIR:-}" ] || [ -z "$run_dir" ] || rm -rf "$run_dir"
+}
+
+write_settings()
+{
+    local name=$1 other seeds=() tool=()
+    for other in "${entry_names[@]}"; do
+        [ "$other" = "$name" ] || seeds+=("$other@${peer_address[$other]}/${zone_of[$other]}")
+        tool+=("$other@${caller_address[$other]}/${zone_of[$other]}")
+    done
+    cat >"$run_dir/$name.ini" <<SETTINGS
+[node]
+name = $name
+zone = ${zone_of[$name]}
+caller_address = ${caller_address[$name]}
+peer_address = ${peer_address[$name]}
+
+[peers]
+secret = secret-of-a-test-cluster
+seeds = $(IFS=,; echo "${seeds[*]}")
+
+[platform]
+log_url = http://$platform
+vm_list_url = http://$platform
+
+[log]
+level = ${LOG_LEVEL:-info}
+
+[tool]
+entry_vms = $(IFS=,; echo "${tool[*]}")
+SETTINGS
+}
+
+start_entry_vm()
+{
+    "$bin/clementinelift" --config "$run_dir/$1.ini" >>"$run_dir/$1.log" 2>&1 &
+    pids[$1]=$!
+}
+
+is_ready() { curl -sf -m 1 -o "$run_dir/ready" "http://${caller_address[$1]}/readyz"; }
+
+wait_ready()
+{
+    local name
+    for name in "$@"; do
+        wait_until 15 is_ready "$name" || fail "$name is not ready: $(tail -n 3 "$run_dir/$name.log")"
+    done
+}
+
+# Starts the stand-ins and ZONES x PER_ZONE entry VMs; further arguments go to the stand-ins.
+start_cluster()
+{
+    local zones=$1 per_zone=$2 ports zone i name entries=()
+    shift 2
+    run_dir=$(mktemp -d)
+    trap stop_all EXIT
+    mapfile -t ports < <(free_ports $((2 * zones * per_zone)))
+    for ((zone = 1; zone <= zones; zone++)); do
+        for ((i = 1; i <= per_zone; i++)); do
+            name=e-$((${#entry_names[@]} + 1))
+            caller_address[$name]=127.0.0.1:${ports[2 * ${#entry_names[@]}]}
+            peer_address[$name]=127.0.0.1:${ports[2 * ${#entry_names[@]} + 1]}
+            zone_of[$name]=z$zone
+            entry_names+=("$name")
+            entries+=("$name,${peer_address[$name]},z$zone")
+        done
+    done
+    "$bin/clementinelift-standins" serve --port-file="$run_dir/port" --zones="$zones" \
+        --entry="$(IFS=';'; echo "${entries[*]}")" "$@" >"$run_dir/standins.log" 2>&1 &
+    pids[standins]=$!
+    wait_until 10 test -s "$run_dir/port" || fail "the stand-ins did not start: $(cat "$run_dir/standins.log")"
+    platform=127.0.0.1:$(cat "$run_dir/port")
+    for name in "${entry_names[@]}"; do write_settings "$name"; done
+    publish_configuration
+    for name in "${entry_names[@]}"; do start_entry_vm "$name"; done
+    wait_ready "${entry_names[@]}"
+}
+
+# Sends one command to the control endpoint of the stand-ins.
+control() { curl -sf -m 5 -o "$run_dir/control" -d "$1" "http://$platform/control" || fail "control $1"; }
+
+# Prints one count of the stand-ins, for example /totals/busy.
+count_of() { "$bin/clementinelift-standins" counts --platform="$platform" | sed -n "s|^$1=||p"; }
+
+# Comma-separated caller interfaces of the named entry VMs (default: all).
+targets()
+{
+    local name list=()
+    for name in "${@:-${entry_names[@]}}"; do list+=("${caller_address[$name]}"); done
+    (IFS=,; echo "${list[*]}")
+}
+
+# Runs the callers in the foreground with the given options; the report goes to $run_dir/load.txt.
+run_load()
+{
+    "$bin/clementinelift-standins" load --platform="$platform" --to="$(targets)" --organisations="$organisations" \
+        --templates="$templates" "$@" >"$run_dir/load.txt" 2>&1
+}
+
+# Value of NAME in the last line of the load report.
+load_count() { tail -n 1 "$run_dir/load.txt" | tr ' ' '\n' | sed -n "s/^$1=//p"; }
+
+# Fails unless the callers have found nothing lost, doubled, partial or untrue.
+require_clean_load()
+{
+    [ "$1" -eq 0 ] || { cat "$run_dir/load.txt" >&2; fail "load: $(tail -n 1 "$run_dir/load.txt")"; }
+}
--- a/tests/standins/load.cpp
+++ b/tests/standins/load.cpp
@@ -9,6 +9,7 @@
 #include <condition_variable>
 #include <cstdio>
 #include <deque>
+#include <future>
 #include <mutex>
 #include <thread>
 
@@ -41,17 +42,20 @@
 
 // Answers -------------------------------------------------------------------------------------------
 
-Reply parseReply(const net::HttpResult &result)
+// elapsed is the time since the request was sent, timeout its limit.
+Reply parseReply(const net::HttpResult &result, std::int64_t elapsedUs, std::int64_t timeoutMs)
 {
     Reply reply;
     if (result.outcome != net::HttpOutcome::Answered) {
-        reply.kind = result.outcome == net::HttpOutcome::NotSent ? ReplyKind::NotSent : ReplyKind::Unknown;
+        reply.kind = result.outcome == net::HttpOutcome::NotSent ? ReplyKind::NotSent
+                : elapsedUs >= timeoutMs * usPerMs               ? ReplyKind::Timeout
+                                                                 : ReplyKind::Cut;
         return reply;
     }
     const auto json = nlohmann::json::parse(result.body, nullptr, false);
     if (!json.is_object()) {
         reply.reason = "body is not JSON";
-        reply.kind = result.status < 500 ? ReplyKind::Rejected : ReplyKind::Unknown;
+        reply.kind = result.status < 500 ? ReplyKind::Rejected : ReplyKind::Cut;
         return reply;
     }
     const std::string answer = json.value("answer", "");
@@ -67,7 +71,7 @@
     } else if (answer == "pending") {
         reply.kind = ReplyKind::Pending;
     } else {
-        reply.kind = result.status >= 500 ? ReplyKind::Unknown : ReplyKind::Rejected;
+        reply.kind = result.status >= 500 ? ReplyKind::Cut : ReplyKind::Rejected;
     }
     return reply;
 }
@@ -85,6 +89,16 @@
     return keys;
 }
 
+// One request to the stand-ins; discarded JSON when there is no answer.
+nlohmann::json ask(net::HttpClient &client, net::HttpClientRequest &&request)
+{
+    std::promise<std::string> body;
+    request.timeoutMs = auditTimeoutMs;
+    request.repeatable = true;
+    client.send(std::move(request), [&](net::HttpResult &&result) { body.set_value(std::move(result.body)); });
+    return nlohmann::json::parse(body.get_future().get(), nullptr, false);
+}
+
 // Callers -------------------------------------------------------------------------------------------
 
 // Sends what the oracle asks for and hands the replies back on one thread.
@@ -111,26 +125,7 @@
         return m_oracle;
     }
 
-    // One request to the stand-ins, in order.
-    nlohmann::json ask(const std::string &method, const std::string &path, const nlohmann::json &body)
-    {
-        nlohmann::json answer;
-        bool done = false;
-        m_client.send({.method = method,
-                       .url = "http://" + m_targets.platform + path,
-                       .body = body.is_null() ? "" : body.dump(),
-                       .timeoutMs = auditTimeoutMs,
-                       .repeatable = true},
-                      [&](net::HttpResult &&result) {
-                          const std::lock_guard lock(m_mutex);
-                          answer = nlohmann::json::parse(result.body, nullptr, false);
-                          done = true;
-                          m_wake.notify_all();
-                      });
-        std::unique_lock lock(m_mutex);
-        m_wake.wait(lock, [&] { return done; });
-        return answer;
-    }
+    net::HttpClient &client() { return m_client; }
 
 private:
     void post(std::function<void()> &&event)
@@ -153,8 +148,10 @@
                            .body = submission(request.job),
                            .headers = {{"Content-Type", "application/json"}},
                            .timeoutMs = request.timeoutMs},
-                          [this, request](net::HttpResult &&result) {
-                              post([this, request, reply = parseReply(result), nowUs = monotonicUs()] {
+                          [this, request, sentUs = monotonicUs()](net::HttpResult &&result) {
+                              const std::int64_t nowUs = monotonicUs();
+                              const Reply reply = parseReply(result, nowUs - sentUs, request.timeoutMs);
+                              post([this, request, reply, nowUs] {
                                   m_oracle.handleReply(request.job, request.attempt, reply, nowUs);
                               });
                           });
@@ -214,14 +211,15 @@
     nlohmann::json counts;
 };
 
-std::uint64_t countStarted(LoadRunner &runner, const std::vector<std::string> &jobs, const char *claim)
+std::uint64_t countStarted(net::HttpClient &client, const std::string &url, const std::vector<std::string> &jobs,
+                           const char *claim)
 {
     std::uint64_t started = 0;
     for (std::size_t from = 0; from < jobs.size(); from += auditBatch) {
         const std::size_t to = std::min(jobs.size(), from + auditBatch);
         const std::vector<std::string> batch(jobs.begin() + static_cast<std::ptrdiff_t>(from),
                                              jobs.begin() + static_cast<std::ptrdiff_t>(to));
-        const auto answer = runner.ask("POST", "/control/audit", {{"jobs", batch}});
+        const auto answer = ask(client, {.method = "POST", .url = url, .body = nlohmann::json{{"jobs", batch}}.dump()});
         if (!answer.is_object())
             continue;
         for (const auto &job : answer["started_jobs"]) {
@@ -232,18 +230,18 @@
     return started;
 }
 
-AuditSummary audit(LoadRunner &runner, const LoadOracle &oracle)
+AuditSummary audit(net::HttpClient &client, const std::string &url, const LoadOracle &oracle)
 {
     AuditSummary summary;
     for (int i = 0; i < settlePolls; ++i) {
-        summary.counts = runner.ask("POST", "/control/audit", nlohmann::json::object());
+        summary.counts = ask(client, {.method = "POST", .url = url, .body = "{}"});
         summary.known = summary.counts.is_object() && summary.counts.contains("doubled");
         if (!summary.known || summary.counts["running"] == 0)
             break;
         std::this_thread::sleep_for(settlePoll);
     }
-    summary.falseNotRun = countStarted(runner, oracle.claimedNotRun(), "not_run");
-    summary.falseNoEffects = countStarted(runner, oracle.claimedNoEffects(), "effects=none");
+    summary.falseNotRun = countStarted(client, url, oracle.claimedNotRun(), "not_run");
+    summary.falseNoEffects = countStarted(client, url, oracle.claimedNoEffects(), "effects=none");
     return summary;
 }
 
@@ -261,7 +259,7 @@
 {
     LoadRunner runner(options, targets);
     const LoadOracle &oracle = runner.run();
-    const AuditSummary summary = audit(runner, oracle);
+    const AuditSummary summary = audit(runner.client(), "http://" + targets.platform + "/control/audit", oracle);
     const LoadCounts counts = oracle.counts();
     const std::vector<double> ratios = oracle.ratios();
 
@@ -277,9 +275,9 @@
                 summary.counts["overlap_same_vm"].get<unsigned long long>(),
                 summary.counts["overlap_other_vm"].get<unsigned long long>());
     }
-    std::printf("load tasks=%llu resubmissions=%u cancels=%u rejected=%u untrue_effects=%llu\n",
-                static_cast<unsigned long long>(counts.tasks), counts.resubmissions, counts.cancels, counts.rejected,
-                static_cast<unsigned long long>(summary.falseNoEffects));
+    std::printf("load tasks=%llu resubmissions=%u cut=%u not_sent=%u cancels=%u rejected=%u untrue_effects=%llu\n",
+                static_cast<unsigned long long>(counts.tasks), counts.resubmissions, counts.cut, counts.notSent,
+                counts.cancels, counts.rejected, static_cast<unsigned long long>(summary.falseNoEffects));
     std::printf("ratio p50=%.3f p90=%.3f p99=%.3f\n", quantile(ratios, 0.5), quantile(ratios, 0.9),
                 quantile(ratios, 0.99));
     const std::uint64_t lost = counts.unanswered + summary.falseNotRun;
@@ -295,4 +293,15 @@
     return good ? 0 : 1;
 }
 
+int printCounts(const std::string &platform)
+{
+    net::HttpClient client({});
+    const auto answer = ask(client, {.url = "http://" + platform + "/control"});
+    if (!answer.is_object())
+        return 1;
+    for (const auto &[name, value] : answer.flatten().items())
+        std::printf("%s=%s\n", name.c_str(), value.dump().c_str());
+    return 0;
+}
+
 } // namespace clementinelift::standins
--- a/tests/standins/load.h
+++ b/tests/standins/load.h
@@ -15,4 +15,7 @@
 // nothing was lost, doubled, partial or untrue and the counts add up.
 int runLoad(const LoadOptions &options, const LoadTargets &targets);
 
+// Prints the answer of GET /control as lines "/totals/busy=3". Returns the exit code of the process.
+int printCounts(const std::string &platform);
+
 } // namespace clementinelift::standins
--- a/tests/standins/load_oracle.cpp
+++ b/tests/standins/load_oracle.cpp
@@ -50,7 +50,7 @@
         if (nowUs - job.arrivalUs > m_options.giveUpMs * usPerMs) {
             ++m_reasons["caller: no answer"];
             job.ended = true;
-            job.answer = ReplyKind::Unknown;
+            job.answer = ReplyKind::Timeout;
             job.endUs = nowUs;
             --m_open;
         } else if (job.resubmitAtUs != 0 && job.resubmitAtUs <= nowUs) {
@@ -82,8 +82,11 @@
         break;
     case ReplyKind::Pending:
     case ReplyKind::NotSent:
-    case ReplyKind::Unknown:
-        job.resubmitAtUs = nowUs + (reply.kind == ReplyKind::Unknown ? 1 : backoffUs);
+    case ReplyKind::Timeout:
+    case ReplyKind::Cut:
+        m_cut += reply.kind == ReplyKind::Cut ? 1 : 0;
+        m_notSent += reply.kind == ReplyKind::NotSent ? 1 : 0;
+        job.resubmitAtUs = nowUs + (reply.kind == ReplyKind::Timeout ? 1 : backoffUs);
         break;
     }
 }
@@ -110,6 +113,8 @@
     counts.rejected = m_rejected;
     counts.resubmissions = m_resubmissions;
     counts.cancels = m_cancels;
+    counts.cut = m_cut;
+    counts.notSent = m_notSent;
     for (const LoadJob &job : m_jobs) {
         counts.tasks += job.runUs.size();
         switch (job.answer) {
@@ -126,7 +131,8 @@
             break;
         case ReplyKind::Pending:
         case ReplyKind::NotSent:
-        case ReplyKind::Unknown:
+        case ReplyKind::Timeout:
+        case ReplyKind::Cut:
             ++counts.unanswered;
             break;
         }
--- a/tests/standins/load_oracle.h
+++ b/tests/standins/load_oracle.h
@@ -96,12 +96,13 @@
     Pending,
     Rejected, // 4xx with an error
     NotSent,
-    Unknown // connection lost or timeout
+    Timeout, // no answer within the time of the submission
+    Cut      // connection lost, or no answer in the form of the protocol
 };
 
 struct Reply
 {
-    ReplyKind kind = ReplyKind::Unknown;
+    ReplyKind kind = ReplyKind::Cut;
     bool effectsNone = false; // of Failed
     std::string reason;
     std::vector<std::string> results; // of Complete
@@ -119,6 +120,8 @@
     std::uint32_t partial = 0;  // complete answers whose results do not match the tasks
     std::uint32_t rejected = 0; // 4xx, contained in refused
     std::uint32_t resubmissions = 0;
+    std::uint32_t cut = 0;     // submissions whose connection was lost
+    std::uint32_t notSent = 0; // submissions that reached no entry VM
     std::uint32_t cancels = 0;
     std::uint64_t tasks = 0;
 };
@@ -142,7 +145,7 @@
     bool started = false;
     bool ended = false;
     bool impatient = false;
-    ReplyKind answer = ReplyKind::Unknown;
+    ReplyKind answer = ReplyKind::Pending;
     bool effectsNone = false;
     std::int64_t endUs = 0;
 
@@ -203,6 +206,8 @@
     std::uint32_t m_partial = 0;
     std::uint32_t m_rejected = 0;
     std::uint32_t m_resubmissions = 0;
+    std::uint32_t m_cut = 0;
+    std::uint32_t m_notSent = 0;
     std::uint32_t m_cancels = 0;
 };
 
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -18,6 +18,7 @@
 Usage:
   clementinelift-standins serve [options]
   clementinelift-standins load --platform=ADDRESS --to=LIST [options]
+  clementinelift-standins counts --platform=ADDRESS
   clementinelift-standins (-h | --help)
 
 Serve options:
@@ -173,6 +174,8 @@
     try {
         if (arguments.at("serve").asBool())
             return serve(arguments);
+        if (arguments.at("counts").asBool())
+            return printCounts(text(arguments, "--platform"));
         return runLoad(loadOptions(arguments), {split(text(arguments, "--to"), ','), text(arguments, "--platform")});
     } catch (const std::exception &exception) {
         std::cerr << "stand-ins: " << exception.what() << '\n';
--- a/tests/unit/standins/model_test.cpp
+++ b/tests/unit/standins/model_test.cpp
@@ -152,7 +152,7 @@
     LoadOracle oracle(options, 0);
     const auto requests = oracle.advance(second, 0);
     REQUIRE(requests.submits.size() == 1);
-    oracle.handleReply(0, 1, {.kind = ReplyKind::Unknown, .reason = {}, .results = {}}, second);
+    oracle.handleReply(0, 1, {.kind = ReplyKind::Timeout, .reason = {}, .results = {}}, second);
     const auto again = oracle.advance(second + 10, 0);
     REQUIRE(again.submits.size() == 1);
     REQUIRE(again.submits[0].entryVm != requests.submits[0].entryVm);
