--- a/tests/process/cluster.sh
+++ b/tests/process/cluster.sh
@@ -47,19 +47,19 @@
 
 process_gone() { ! kill -0 "$1" 2>/dev/null; }
 
-# Sends SIGNAL to process NAME and waits for its end; kills it after 10 s. Returns its exit code.
-stop_process()
+# Waits for the end of process NAME, kills it after STOP_SECONDS (10). Returns its exit code.
+wait_process()
 {
-    local name=$1 signal=${2:-TERM} pid=${pids[$1]:-} code=0
+    local name=$1 pid=${pids[$1]:-} code=0
     [ -n "$pid" ] || return 0
-    kill -CONT "$pid" 2>/dev/null || true
-    kill "-$signal" "$pid" 2>/dev/null || true
     wait_until "${STOP_SECONDS:-10}" process_gone "$pid" || kill -KILL "$pid" 2>/dev/null || true
     wait "$pid" 2>/dev/null || code=$?
     unset "pids[$name]"
     return $code
 }
 
+signal_process() { kill "-$2" "${pids[$1]}" || fail "$1 has ended"; }
+
 # Stops everything that this shell has started. Entry VMs get no time to drain here.
 stop_all()
 {
@@ -164,18 +164,37 @@
     (IFS=,; echo "${list[*]}")
 }
 
-# Runs the callers in the foreground with the given options; the report goes to $run_dir/load.txt.
-run_load()
+# Starts the callers with the given options; the report goes to $run_dir/load.txt.
+start_load()
 {
     "$bin/clementinelift-standins" load --platform="$platform" --to="$(targets)" --organisations="$organisations" \
-        --templates="$templates" "$@" >"$run_dir/load.txt" 2>&1
+        --templates="$templates" "$@" >"$run_dir/load.txt" 2>&1 &
+    pids[load]=$!
 }
 
+# Waits for the callers. Returns their exit code.
+wait_load() { STOP_SECONDS=${LOAD_SECONDS:-60} wait_process load; }
+
 # Value of NAME in the last line of the load report.
 load_count() { tail -n 1 "$run_dir/load.txt" | tr ' ' '\n' | sed -n "s/^$1=//p"; }
 
-# Fails unless the callers have found nothing lost, doubled, partial or untrue.
+# Value of NAME in the lines of the load report, for example cut.
+load_detail() { tr ' ' '\n' <"$run_dir/load.txt" | sed -n "s/^$1=//p" | head -n 1; }
+
+# Waits for the callers; fails unless they have found nothing lost, doubled, partial or untrue, and some job completed.
 require_clean_load()
 {
-    [ "$1" -eq 0 ] || { cat "$run_dir/load.txt" >&2; fail "load: $(tail -n 1 "$run_dir/load.txt")"; }
+    wait_load || { cat "$run_dir/load.txt" >&2; fail "load: $(tail -n 1 "$run_dir/load.txt")"; }
+    [ "$(load_count complete)" -gt 0 ] || { cat "$run_dir/load.txt" >&2; fail "no job completed"; }
+    tail -n 1 "$run_dir/load.txt"
+}
+
+# Stops the named entry VMs gracefully; fails when one does not end with exit code 0.
+require_graceful_stop()
+{
+    local name
+    for name in "$@"; do signal_process "$name" TERM; done
+    for name in "$@"; do
+        wait_process "$name" || fail "$name ended with exit code $?: $(tail -n 3 "$run_dir/$name.log")"
+    done
 }
--- /dev/null
+++ b/tests/process/graceful_stop.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Guards against answers that a planned stop cuts off (G7), and against a stop that does not end.
+set -euo pipefail
+. "$(dirname "$0")/cluster.sh"
+start_cluster 2 2 --backends=16
+start_load --jobs=320 --rate=40 --deadline-ms=6000 --resubmit-ms=7000 --impatient=0
+sleep 3
+require_graceful_stop e-3
+require_clean_load
+[ "$(load_detail cut)" -eq 0 ] || { cat "$run_dir/load.txt" >&2; fail "$(load_detail cut) answers were cut"; }
--- /dev/null
+++ b/tests/process/leaving_backend.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Guards against work for a backend server that is leaving, more than 3 s after the VM list first said so (G6).
+set -euo pipefail
+. "$(dirname "$0")/cluster.sh"
+start_cluster 2 2 --backends=8
+start_load --jobs=400 --rate=40 --deadline-ms=6000 --resubmit-ms=7000
+sleep 2
+control '{"op":"leaving","name":"b-1"}'
+control '{"op":"leaving","name":"b-2"}'
+require_clean_load
+[ "$(count_of /backends/0/starts)" -gt 0 ] || fail "b-1 had no work before it left"
+[ "$(count_of /totals/late_starts)" -eq 0 ] || fail "$(count_of /totals/late_starts) tasks started on a leaving backend server"
