--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -29,6 +29,7 @@
 constexpr auto settleTime = std::chrono::milliseconds(50);
 constexpr auto refuseTime = std::chrono::milliseconds(1000);
 constexpr int statusClientGone = 499;
+constexpr int statusDropped = 0; // marks an answer that is never sent
 
 // One request from its header to the end of its answer; owned by MHD through con_cls.
 struct Exchange
@@ -177,6 +178,8 @@
 
 MHD_Result HttpServer::State::deliver(MHD_Connection *connection, HttpAnswer &&answer)
 {
+    if (answer.status == statusDropped)
+        return MHD_NO;
     auto body = std::make_unique<std::string>(std::move(answer.body));
     MHD_Response *response = MHD_create_response_from_buffer_with_free_callback_cls(
             body->size(), body->data(), [](void *text) { delete static_cast<std::string *>(text); }, body.get());
@@ -287,6 +290,11 @@
     return true;
 }
 
+bool HttpServer::drop(HttpCall call)
+{
+    return answer(call, {statusDropped, {}});
+}
+
 std::vector<HttpCall> HttpServer::takeGone()
 {
     std::vector<HttpCall> gone;
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -79,6 +79,9 @@
     // Thread-safe. False when the call is unknown, already answered or its connection is gone.
     bool answer(HttpCall call, HttpAnswer &&answer);
 
+    // Closes the connection of the call without an answer. Thread-safe; result as of answer().
+    bool drop(HttpCall call);
+
     // Calls whose client has closed the connection; each is reported once and needs no answer any more.
     std::vector<HttpCall> takeGone();
 
--- a/tests/standins/backend_pool.h
+++ b/tests/standins/backend_pool.h
@@ -111,6 +111,7 @@
     KnownAttempt query(std::size_t backend, std::string_view attempt);
     // Ends a running task as failed. The end is returned by the next advance().
     bool stop(std::size_t backend, std::string_view attempt, std::int64_t nowUs);
+    bool isCrashed(std::size_t backend) const { return m_backends[backend].mode == BackendMode::Crashed; }
     // Empty: crashed.
     std::optional<bool> probe(std::size_t backend);
 
--- a/tests/standins/load.cpp
+++ b/tests/standins/load.cpp
@@ -146,7 +146,9 @@
             m_client.send({.method = "POST",
                            .url = url(request.entryVm, "/v1/jobs?wait=1"),
                            .body = submission(request.job),
-                           .headers = {{"Content-Type", "application/json"}},
+                           // A kept connection may close at the moment of the next request, which would look like a
+                           // cut answer.
+                           .headers = {{"Connection", "close"}},
                            .timeoutMs = request.timeoutMs},
                           [this, request, sentUs = monotonicUs()](net::HttpResult &&result) {
                               const std::int64_t nowUs = monotonicUs();
@@ -299,7 +301,8 @@
     const auto answer = ask(client, {.url = "http://" + platform + "/control"});
     if (!answer.is_object())
         return 1;
-    for (const auto &[name, value] : answer.flatten().items())
+    const auto lines = answer.flatten();
+    for (const auto &[name, value] : lines.items())
         std::printf("%s=%s\n", name.c_str(), value.dump().c_str());
     return 0;
 }
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -210,9 +210,8 @@
         const std::lock_guard lock(m_mutex);
         const AppendResult result = m_log.append(stream, request.body, monotonicUs(), wallMs());
         if (result.status == AppendStatus::Appended) {
-            // A lost answer is never sent: the appender runs into its timeout.
-            if (!result.answerLost)
-                m_timedReplies.push_back({result.readyUs, {0, call, jsonAnswer(200, {{"offset", result.offset}})}});
+            Reply reply{0, call, jsonAnswer(200, {{"offset", result.offset}}), result.answerLost};
+            m_timedReplies.push_back({result.readyUs, std::move(reply)});
             m_changed = true;
             m_wake.notify_all();
             return;
@@ -399,17 +398,20 @@
 {
     const std::string_view path = request.path;
     net::HttpAnswer answer = errorAnswer(404, "unknown path");
+    bool dropped = false; // a crashed backend server closes the connection
     {
         const std::lock_guard lock(m_mutex);
         const std::int64_t nowUs = monotonicUs();
         if (path == "/healthz") {
             const auto healthy = m_pool.probe(backend);
-            if (!healthy)
-                return; // a crashed backend server answers nothing
-            answer = *healthy ? jsonAnswer(200, {{"healthy", true}}) : errorAnswer(503, "unhealthy");
+            dropped = !healthy;
+            if (healthy)
+                answer = *healthy ? jsonAnswer(200, {{"healthy", true}}) : errorAnswer(503, "unhealthy");
         } else if (path.starts_with(tasksPrefix)) {
             const std::string attempt(path.substr(tasksPrefix.size()));
-            if (request.method == "GET") {
+            if (m_pool.isCrashed(backend)) {
+                dropped = true;
+            } else if (request.method == "GET") {
                 const KnownAttempt known = m_pool.query(backend, attempt);
                 answer = jsonAnswer(200, {{"state", known.state}, {"result", known.result}});
             } else if (request.method == "DELETE") {
@@ -425,13 +427,17 @@
                     m_changed = true;
                     m_wake.notify_all();
                 }
-                if (status != StartStatus::Busy)
-                    return; // answered at the end of the task, or never
+                if (status == StartStatus::Started)
+                    return; // answered at the end of the task
+                dropped = status != StartStatus::Busy;
                 answer = {503, "busy", "text/plain", {{"X-Not-Started", "busy"}}};
             }
         }
     }
-    m_backendServers[backend]->answer(call, std::move(answer));
+    if (dropped)
+        m_backendServers[backend]->drop(call);
+    else
+        m_backendServers[backend]->answer(call, std::move(answer));
 }
 
 // Timer ---------------------------------------------------------------------------------------------
@@ -459,8 +465,8 @@
 {
     for (const EndedTask &task : m_pool.advance(nowUs)) {
         const auto call = m_calls[task.backend].extract(task.attempt);
-        if (!call.empty() && task.state != EndState::Lost)
-            replies.push_back({task.backend + 1, call.mapped(), endAnswer(task)});
+        if (!call.empty())
+            replies.push_back({task.backend + 1, call.mapped(), endAnswer(task), task.state == EndState::Lost});
     }
     std::int64_t nextUs = m_pool.nextEndUs();
     std::erase_if(m_timedReplies, [&](TimedReply &timed) {
@@ -476,7 +482,7 @@
             nextUs = std::min(nextUs, read.untilUs);
             return false;
         }
-        replies.push_back({0, read.call, answerRead(read, nowUs)});
+        replies.push_back({0, read.call, answerRead(read, nowUs), false});
         return true;
     });
     return nextUs;
@@ -485,7 +491,10 @@
 void Platform::deliver(std::vector<Reply> &replies)
 {
     for (Reply &reply : replies)
-        server(reply.server).answer(reply.call, std::move(reply.answer));
+        if (reply.dropped)
+            server(reply.server).drop(reply.call);
+        else
+            server(reply.server).answer(reply.call, std::move(reply.answer));
 }
 
 } // namespace clementinelift::standins
--- a/tests/standins/platform.h
+++ b/tests/standins/platform.h
@@ -60,6 +60,7 @@
         std::size_t server = 0; // 0: platform, else backend server + 1
         net::HttpCall call{};
         net::HttpAnswer answer;
+        bool dropped = false; // close the connection in place of an answer
     };
     struct WaitingRead
     {
