--- a/tests/standins/load.cpp
+++ b/tests/standins/load.cpp
@@ -183,7 +183,7 @@
         nlohmann::json tasks = nlohmann::json::array();
         for (std::uint32_t task = 0; task < job.runUs.size(); ++task) {
             tasks.push_back({{"payload", toPayload(m_oracle.taskIdentity(index, task))},
-                             {"run_ms", std::max<std::int64_t>(1, job.runUs[task] / usPerMs)}});
+                             {"run_ms", std::max<std::int64_t>(1, job.declaredUs[task] / usPerMs)}});
         }
         nlohmann::json body = {{"organisation", job.organisation},
                                {"template", m_oracle.options().templates[job.templateIndex].name},
--- a/tests/standins/load_oracle.cpp
+++ b/tests/standins/load_oracle.cpp
@@ -13,7 +13,8 @@
 constexpr std::size_t keysLow = 8;                // fewer spare keys than this: fetch more
 constexpr std::int64_t backoffUs = 150 * usPerMs; // before a resubmission after a refusal or error
 constexpr std::int64_t spareKeyAgeMs = 5'000;     // older spare keys are not used
-constexpr double idShare = 0.2;                   // of the callers' own keys are ids with an issue time
+constexpr std::int64_t misdeclaredBy = 5;
+constexpr double idShare = 0.2; // of the callers' own keys are ids with an issue time
 
 } // namespace
 
@@ -180,9 +181,12 @@
     std::uniform_int_distribution<std::size_t> organisation(0, m_options.organisations.size() - 1);
     std::uniform_int_distribution<std::size_t> templateIndex(0, m_options.templates.size() - 1);
     double atUs = static_cast<double>(startUs);
+    const auto burstFrom = static_cast<std::uint32_t>(m_options.jobs * (1 - m_options.burstShare) / 2);
+    const auto burstTo = static_cast<std::uint32_t>(m_options.jobs * (1 + m_options.burstShare) / 2);
     for (std::uint32_t i = 0; i < m_options.jobs; ++i) {
         LoadJob &job = m_jobs.emplace_back();
-        atUs += gapS(m_random) * usPerSecond;
+        if (i < burstFrom || i >= burstTo)
+            atUs += gapS(m_random) * usPerSecond;
         job.arrivalUs = static_cast<std::int64_t>(atUs);
         job.organisation = m_options.organisations[organisation(m_random)];
         job.templateIndex = templateIndex(m_random);
@@ -192,6 +196,10 @@
             const auto run = static_cast<std::int64_t>(std::exp(logRun(m_random)));
             job.runUs.push_back(draw(m_options.longShare) ? m_options.longRunUs : run);
             job.fails.push_back(draw(m_options.failingShare));
+            const bool misdeclared = draw(m_options.misdeclaredShare);
+            const bool tooLong = misdeclared && draw(0.5);
+            const std::int64_t runUs = job.runUs.back();
+            job.declaredUs.push_back(!misdeclared ? runUs : tooLong ? runUs * misdeclaredBy : runUs / misdeclaredBy);
         }
         job.idealUs = *std::max_element(job.runUs.begin(), job.runUs.end());
     }
--- a/tests/standins/load_oracle.h
+++ b/tests/standins/load_oracle.h
@@ -42,7 +42,9 @@
     std::int64_t maxRunUs = 1'000'000;
     double longShare = 0.002; // of the tasks run longRunUs
     std::int64_t longRunUs = 3'000'000;
-    double failingShare = 0; // of the tasks run and fail
+    double failingShare = 0;       // of the tasks run and fail
+    double misdeclaredShare = 0.1; // of the tasks declare a run time that is 5 times too long or too short
+    double burstShare = 0;         // of the jobs arrive at once in the middle of the run
     std::int64_t deadlineMs = 15'000;
     std::int64_t resubmitMs = 17'000; // without an answer the caller tries another entry VM
     double impatientShare = 0.03;     // of the callers resubmit after impatientMs
@@ -136,6 +138,7 @@
     std::string id; // when not empty, sent with issuedAtMs in place of the key
     std::int64_t issuedAtMs = 0;
     std::vector<std::int64_t> runUs; // one entry a task
+    std::vector<std::int64_t> declaredUs;
     std::vector<bool> fails;
     std::int64_t arrivalUs = 0;
     std::int64_t idealUs = 0;      // longest task on an idle backend server of speed 1
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -48,6 +48,8 @@
   --max-run-ms=N          Longest ordinary task [default: 1000].
   --long-share=SHARE      Share of the tasks that run 3 s [default: 0.002].
   --failing-share=SHARE   Share of the tasks that run and fail [default: 0].
+  --misdeclared=SHARE     Share of the tasks with a run time 5 times off [default: 0.1].
+  --burst=SHARE           Share of the jobs that arrive at once in the middle [default: 0].
   --deadline-ms=N         Deadline of a job [default: 15000].
   --resubmit-ms=N         Callers resubmit after this time [default: 17000].
   --impatient=SHARE       Share of the callers that resubmit after 400 ms [default: 0.03].
@@ -132,6 +134,8 @@
     options.maxRunUs = number(arguments, "--max-run-ms") * 1000;
     options.longShare = decimal(arguments, "--long-share");
     options.failingShare = decimal(arguments, "--failing-share");
+    options.misdeclaredShare = decimal(arguments, "--misdeclared");
+    options.burstShare = decimal(arguments, "--burst");
     options.deadlineMs = number(arguments, "--deadline-ms");
     options.resubmitMs = number(arguments, "--resubmit-ms");
     options.impatientShare = decimal(arguments, "--impatient");
