--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -18,6 +18,7 @@
 Usage:
   clementinelift-standins serve [options]
   clementinelift-standins load --platform=ADDRESS --to=LIST [options]
+  clementinelift-standins counts --platform=ADDRESS
   clementinelift-standins (-h | --help)
 
 Serve options:
@@ -47,6 +48,8 @@
   --max-run-ms=N          Longest ordinary task [default: 1000].
   --long-share=SHARE      Share of the tasks that run 3 s [default: 0.002].
   --failing-share=SHARE   Share of the tasks that run and fail [default: 0].
+  --misdeclared=SHARE     Share of the tasks with a run time 5 times off [default: 0.1].
+  --burst=SHARE           Share of the jobs that arrive at once in the middle [default: 0].
   --deadline-ms=N         Deadline of a job [default: 15000].
   --resubmit-ms=N         Callers resubmit after this time [default: 17000].
   --impatient=SHARE       Share of the callers that resubmit after 400 ms [default: 0.03].
@@ -131,6 +134,8 @@
     options.maxRunUs = number(arguments, "--max-run-ms") * 1000;
     options.longShare = decimal(arguments, "--long-share");
     options.failingShare = decimal(arguments, "--failing-share");
+    options.misdeclaredShare = decimal(arguments, "--misdeclared");
+    options.burstShare = decimal(arguments, "--burst");
     options.deadlineMs = number(arguments, "--deadline-ms");
     options.resubmitMs = number(arguments, "--resubmit-ms");
     options.impatientShare = decimal(arguments, "--impatient");
@@ -173,6 +178,8 @@
     try {
         if (arguments.at("serve").asBool())
             return serve(arguments);
+        if (arguments.at("counts").asBool())
+            return printCounts(text(arguments, "--platform"));
         return runLoad(loadOptions(arguments), {split(text(arguments, "--to"), ','), text(arguments, "--platform")});
     } catch (const std::exception &exception) {
         std::cerr << "stand-ins: " << exception.what() << '\n';
