--- a/tests/standins/load_oracle.cpp
+++ b/tests/standins/load_oracle.cpp
@@ -13,7 +13,8 @@
 constexpr std::size_t keysLow = 8;                // fewer spare keys than this: fetch more
 constexpr std::int64_t backoffUs = 150 * usPerMs; // before a resubmission after a refusal or error
 constexpr std::int64_t spareKeyAgeMs = 5'000;     // older spare keys are not used
-constexpr double idShare = 0.2;                   // of the callers' own keys are ids with an issue time
+constexpr std::int64_t misdeclaredBy = 5;
+constexpr double idShare = 0.2; // of the callers' own keys are ids with an issue time
 
 } // namespace
 
@@ -50,7 +51,7 @@
         if (nowUs - job.arrivalUs > m_options.giveUpMs * usPerMs) {
             ++m_reasons["caller: no answer"];
             job.ended = true;
-            job.answer = ReplyKind::Unknown;
+            job.answer = ReplyKind::Timeout;
             job.endUs = nowUs;
             --m_open;
         } else if (job.resubmitAtUs != 0 && job.resubmitAtUs <= nowUs) {
@@ -82,8 +83,11 @@
         break;
     case ReplyKind::Pending:
     case ReplyKind::NotSent:
-    case ReplyKind::Unknown:
-        job.resubmitAtUs = nowUs + (reply.kind == ReplyKind::Unknown ? 1 : backoffUs);
+    case ReplyKind::Timeout:
+    case ReplyKind::Cut:
+        m_cut += reply.kind == ReplyKind::Cut ? 1 : 0;
+        m_notSent += reply.kind == ReplyKind::NotSent ? 1 : 0;
+        job.resubmitAtUs = nowUs + (reply.kind == ReplyKind::Timeout ? 1 : backoffUs);
         break;
     }
 }
@@ -110,6 +114,8 @@
     counts.rejected = m_rejected;
     counts.resubmissions = m_resubmissions;
     counts.cancels = m_cancels;
+    counts.cut = m_cut;
+    counts.notSent = m_notSent;
     for (const LoadJob &job : m_jobs) {
         counts.tasks += job.runUs.size();
         switch (job.answer) {
@@ -126,7 +132,8 @@
             break;
         case ReplyKind::Pending:
         case ReplyKind::NotSent:
-        case ReplyKind::Unknown:
+        case ReplyKind::Timeout:
+        case ReplyKind::Cut:
             ++counts.unanswered;
             break;
         }
@@ -174,9 +181,12 @@
     std::uniform_int_distribution<std::size_t> organisation(0, m_options.organisations.size() - 1);
     std::uniform_int_distribution<std::size_t> templateIndex(0, m_options.templates.size() - 1);
     double atUs = static_cast<double>(startUs);
+    const auto burstFrom = static_cast<std::uint32_t>(m_options.jobs * (1 - m_options.burstShare) / 2);
+    const auto burstTo = static_cast<std::uint32_t>(m_options.jobs * (1 + m_options.burstShare) / 2);
     for (std::uint32_t i = 0; i < m_options.jobs; ++i) {
         LoadJob &job = m_jobs.emplace_back();
-        atUs += gapS(m_random) * usPerSecond;
+        if (i < burstFrom || i >= burstTo)
+            atUs += gapS(m_random) * usPerSecond;
         job.arrivalUs = static_cast<std::int64_t>(atUs);
         job.organisation = m_options.organisations[organisation(m_random)];
         job.templateIndex = templateIndex(m_random);
@@ -186,6 +196,10 @@
             const auto run = static_cast<std::int64_t>(std::exp(logRun(m_random)));
             job.runUs.push_back(draw(m_options.longShare) ? m_options.longRunUs : run);
             job.fails.push_back(draw(m_options.failingShare));
+            const bool misdeclared = draw(m_options.misdeclaredShare);
+            const bool tooLong = misdeclared && draw(0.5);
+            const std::int64_t runUs = job.runUs.back();
+            job.declaredUs.push_back(!misdeclared ? runUs : tooLong ? runUs * misdeclaredBy : runUs / misdeclaredBy);
         }
         job.idealUs = *std::max_element(job.runUs.begin(), job.runUs.end());
     }
