--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -138,25 +138,18 @@
         m_timer.join();
     if (m_server)
         m_server->stop(0);
-    for (auto &server : m_backendServers)
-        server->stop(0);
+    for (const auto &server : m_backendServers) {
+        if (server != nullptr)
+            server->stop(0);
+    }
 }
 
 tl::expected<void, std::string> Platform::start(const std::string &address)
 {
-    m_backendServers.reserve(m_pool.size());
+    m_backendServers.resize(m_pool.size());
     for (std::size_t i = 0; i < m_pool.size(); ++i) {
-        net::HttpServerSettings settings;
-        settings.maxConnections = m_pool.spec(i).connections;
-        settings.threads = 1;
-        auto started = net::HttpServer::start(settings, [this, i](net::HttpCall call, net::HttpRequest &&request) {
-            handleBackend(i, call, std::move(request));
-        });
-        if (!started)
-            return tl::unexpected(started.error());
-        const std::lock_guard lock(m_mutex);
-        m_backendServers.push_back(std::move(*started));
-        m_pool.setAddress(i, "127.0.0.1:" + std::to_string(m_backendServers[i]->port()));
+        if (const auto listening = listen(i); !listening)
+            return listening;
         const BackendSpec &spec = m_pool.spec(i);
         m_list.put({spec.name, true, spec.address, spec.zone, spec.rack, false, spec.slots, spec.connections,
                     spec.cores, spec.memoryMb},
@@ -174,6 +167,59 @@
     return {};
 }
 
+std::shared_ptr<net::HttpServer> Platform::backendServer(std::size_t backend)
+{
+    const std::lock_guard lock(m_serverMutex);
+    return m_backendServers[backend];
+}
+
+tl::expected<void, std::string> Platform::listen(std::size_t backend)
+{
+    net::HttpServerSettings settings;
+    {
+        const std::lock_guard lock(m_mutex);
+        const BackendSpec &spec = m_pool.spec(backend);
+        settings.address = spec.address.empty() ? settings.address : spec.address;
+        settings.maxConnections = spec.connections;
+        settings.threads = 1;
+    }
+    auto started = net::HttpServer::start(settings, [this, backend](net::HttpCall call, net::HttpRequest &&request) {
+        handleBackend(backend, call, std::move(request));
+    });
+    if (!started)
+        return tl::unexpected(started.error());
+    const std::lock_guard serverLock(m_serverMutex);
+    const std::lock_guard lock(m_mutex);
+    m_backendServers[backend] = std::move(*started);
+    m_pool.setAddress(backend, "127.0.0.1:" + std::to_string(m_backendServers[backend]->port()));
+    return {};
+}
+
+std::string Platform::followMode(std::size_t backend)
+{
+    bool crashed = false;
+    std::map<std::string, net::HttpCall> calls;
+    {
+        const std::lock_guard lock(m_mutex);
+        crashed = m_pool.isCrashed(backend);
+        if (crashed)
+            calls.swap(m_calls[backend]);
+    }
+    const auto server = backendServer(backend);
+    if (crashed && server != nullptr) {
+        // Before the stop, which answers 503 to what is still open.
+        for (const auto &[attempt, call] : calls)
+            server->drop(call);
+        server->stop(0);
+        const std::lock_guard lock(m_serverMutex);
+        m_backendServers[backend].reset();
+    } else if (!crashed && server == nullptr) {
+        if (const auto listening = listen(backend); !listening)
+            return listening.error();
+    }
+    return {};
+}
+
 // Platform requests ---------------------------------------------------------------------------------
 
 void Platform::handlePlatform(net::HttpCall call, net::HttpRequest &&request)
@@ -289,15 +335,21 @@
     const auto command = nlohmann::json::parse(body, nullptr, false);
     if (!command.is_object())
         return errorAnswer(400, "the body must be a JSON object");
-    const std::lock_guard lock(m_mutex);
+    const std::lock_guard controlLock(m_controlMutex);
     std::string error;
+    std::optional<std::size_t> backend;
     try {
+        const std::lock_guard lock(m_mutex);
         error = applyControl(command, monotonicUs());
+        if (command.at("op") == "backend")
+            backend = m_pool.find(command.value("name", ""));
+        m_changed = true;
     } catch (const nlohmann::json::exception &exception) {
         error = exception.what();
     }
-    m_changed = true;
     m_wake.notify_all();
+    if (error.empty() && backend)
+        error = followMode(*backend);
     return error.empty() ? jsonAnswer(200, {{"ok", true}}) : errorAnswer(400, error);
 }
 
@@ -434,10 +486,13 @@
             }
         }
     }
+    const auto server = backendServer(backend);
+    if (server == nullptr)
+        return;
     if (dropped)
-        m_backendServers[backend]->drop(call);
+        server->drop(call);
     else
-        m_backendServers[backend]->answer(call, std::move(answer));
+        server->answer(call, std::move(answer));
 }
 
 // Timer ---------------------------------------------------------------------------------------------
@@ -490,11 +545,20 @@
 
 void Platform::deliver(std::vector<Reply> &replies)
 {
-    for (Reply &reply : replies)
-        if (reply.dropped)
-            server(reply.server).drop(reply.call);
-        else
-            server(reply.server).answer(reply.call, std::move(reply.answer));
+    for (Reply &reply : replies) {
+        if (reply.server == 0) {
+            if (reply.dropped)
+                m_server->drop(reply.call);
+            else
+                m_server->answer(reply.call, std::move(reply.answer));
+            continue;
+        }
+        const auto server = backendServer(reply.server - 1);
+        if (server != nullptr && reply.dropped)
+            server->drop(reply.call);
+        else if (server != nullptr)
+            server->answer(reply.call, std::move(reply.answer));
+    }
 }
 
 } // namespace clementinelift::standins
--- a/tests/standins/platform.h
+++ b/tests/standins/platform.h
@@ -90,7 +90,10 @@
     void runTimer();
     std::int64_t collectDue(std::int64_t nowUs, std::vector<Reply> &replies); // returns the next time of interest
     void deliver(std::vector<Reply> &replies);
-    net::HttpServer &server(std::size_t index) { return index == 0 ? *m_server : *m_backendServers[index - 1]; }
+    std::shared_ptr<net::HttpServer> backendServer(std::size_t backend);
+    tl::expected<void, std::string> listen(std::size_t backend);
+    // A crashed backend server refuses connections, another one listens on its old port.
+    std::string followMode(std::size_t backend);
 
     std::mutex m_mutex; // guards everything below but the servers
     std::condition_variable m_wake;
@@ -104,7 +107,9 @@
     std::vector<std::map<std::string, net::HttpCall>> m_calls; // waiting attempts of each backend server
 
     std::unique_ptr<net::HttpServer> m_server;
-    std::vector<std::unique_ptr<net::HttpServer>> m_backendServers;
+    std::mutex m_controlMutex; // one command at a time
+    std::mutex m_serverMutex;  // guards the pointers below, which change when a backend server crashes and comes back
+    std::vector<std::shared_ptr<net::HttpServer>> m_backendServers;
     std::thread m_timer;
 };
 
