Do not count attempts that the dispatcher stops as failures of the backend server

Failing first: after one failed task the seven stopped attempts of its job ended as Failed and opened the breaker of a healthy backend server, so the next job waited (dispatcher_test, 'a failed task that never repeats fails the job early'). The scheduler now hears which attempts are stopped before their deadline and takes their end as neutral, also towards the lender of a slot. Links to owners are asked for through the membership.

--- a/packages/core/basic_scheduler.h
+++ b/packages/core/basic_scheduler.h
@@ -52,6 +52,7 @@
     Reason admit(const JobTicket &job, Now now);
     void enqueue(const JobTicket &job, Now now);
     std::uint32_t cancelQueued(JobId job, Now now);
+    void noteStopped(TaskRef task);
     NextStep onAttemptEnded(TaskRef task, AttemptOutcome outcome, std::uint32_t serviceUs, bool repeatable, Now now);
 
     void onBackendProbed(BackendId backend, bool healthy, Now now);
--- a/packages/core/basic_scheduler_impl.h
+++ b/packages/core/basic_scheduler_impl.h
@@ -367,6 +367,13 @@
     return closeJob(job, Reason::None);
 }
 
+template <SlotPolicy P> void BasicScheduler<P>::noteStopped(TaskRef ref)
+{
+    const auto found = m_jobs.find(ref.job);
+    assert(found != m_jobs.end() && found->second.tasks[ref.index].phase == TaskPhase::Running);
+    found->second.tasks[ref.index].stopped = true;
+}
+
 // Ends of attempts ----------------------------------------------------------------------------------
 
 template <SlotPolicy P>
@@ -408,12 +415,16 @@
     assert(task.phase == TaskPhase::Running);
     const BackendId backend = task.backend;
     const double measuredUs = serviceUs > 0 ? serviceUs : static_cast<double>(now.monoUs - task.startUs);
-    learn(shapeOf(job, task), backend, outcome, measuredUs, task.startUs, now.monoUs);
+    // The end of a stopped attempt is no evidence, as little as Busy is.
+    const AttemptOutcome evidence = task.stopped && outcome == AttemptOutcome::Failed ? AttemptOutcome::Busy : outcome;
+    learn(shapeOf(job, task), backend, evidence, measuredUs, task.startUs, now.monoUs);
+    task.stopped = false;
     const bool borrowed = task.request != 0;
     if (borrowed) {
         const auto request = m_requests.find(task.request);
         if (request != m_requests.end()) {
-            send(request->second.node, SlotReturn{task.request, true, outcome, static_cast<std::uint32_t>(measuredUs)});
+            send(request->second.node,
+                 SlotReturn{task.request, true, evidence, static_cast<std::uint32_t>(measuredUs)});
             m_requests.erase(request);
         }
         task.request = 0;
--- a/packages/core/dispatcher_attempts.cpp
+++ b/packages/core/dispatcher_attempts.cpp
@@ -249,13 +249,15 @@
 {
     const bool mayHaveEffects = job.mayHaveEffects || job.inProgress > 0;
     counters.tasksDropped += scheduler.cancelQueued(job.id, step.now);
-    stopAttempts(step, job);
+    // Attempts that outlive the deadline are evidence against their backend servers.
+    const bool isLate = reason == Reason::DeadlineExceeded || reason == Reason::OutcomeUnknown;
+    stopAttempts(step, job, !isLate);
     ++counters.failures[static_cast<std::size_t>(reason)];
     endJob(step, job, makeFailure(reason, mayHaveEffects ? Effects::Possible : Effects::None, std::move(detail)));
 }
 
 // Attempts in progress stay known until their end, so that the scheduler can free their slots.
-void Dispatcher::State::stopAttempts(Step &step, Job &job)
+void Dispatcher::State::stopAttempts(Step &step, Job &job, bool early)
 {
     if (job.inProgress == 0)
         return;
@@ -270,8 +272,11 @@
         step.act(StopAttempt{{settings.self.incarnation, task.attempt},
                              attempt.backend,
                              scheduler.backend(attempt.backend).address});
-        if (!attempt.resolving)
+        if (!attempt.resolving) {
+            if (early)
+                scheduler.noteStopped(attempt.task);
             continue;
+        }
         // Its AttemptEnded has been delivered, no other will follow.
         attempts.erase(found);
         if (scheduler.onAttemptEnded(attempt.task, AttemptOutcome::Unknown, 0, false, step.now) == NextStep::Retry)
--- a/packages/core/dispatcher_forwards.cpp
+++ b/packages/core/dispatcher_forwards.cpp
@@ -69,8 +69,13 @@
 
     if (forward.unreachableSinceUs < 0) {
         forward.unreachableSinceUs = nowUs;
-        step.act(ConnectPeer{NodeInfo{
-                .name = forward.ownerNode, .address = forward.ownerAddress, .zone = {}, .incarnation = forward.owner}});
+        if (membership.find(forward.ownerNode) != nullptr)
+            membership.wantLink(forward.ownerNode, step.now, step.actions);
+        else
+            step.act(ConnectPeer{NodeInfo{.name = forward.ownerNode,
+                                          .address = forward.ownerAddress,
+                                          .zone = {},
+                                          .incarnation = forward.owner}});
     }
     if (mayRunHere(forward, step.now)) {
         const std::int64_t patienceUs =
@@ -108,6 +113,7 @@
     if (forward.kind == SubmitKind::Submit)
         message.request.deadlineMs = std::max<std::int64_t>(1, (forward.deadlineUs - step.now.monoUs) / usPerMs);
     step.act(SendPeer{forward.ownerNode, std::move(message)});
+    membership.wantLink(forward.ownerNode, step.now, step.actions);
     if (forward.kind == SubmitKind::Submit)
         ++counters.forwardsSent;
     const std::uint32_t shift = std::min(forward.sends, maxBackoffShift);
--- a/packages/core/dispatcher_state.h
+++ b/packages/core/dispatcher_state.h
@@ -241,7 +241,7 @@
     bool mayRunAgain(const Job &job) const;
     void completeJob(Step &step, Job &job);
     void failJob(Step &step, Job &job, Reason reason, std::string detail);
-    void stopAttempts(Step &step, Job &job);
+    void stopAttempts(Step &step, Job &job, bool early); // early: before the deadline
     void endJob(Step &step, Job &job, Answer &&answer);
     void reply(Step &step, const Requester &requester, Answer &&answer);
 
--- a/packages/core/scheduler.cpp
+++ b/packages/core/scheduler.cpp
@@ -59,6 +59,11 @@
     return m_state->cancelQueued(job, now);
 }
 
+void Scheduler::noteStopped(TaskRef task)
+{
+    m_state->noteStopped(task);
+}
+
 NextStep Scheduler::onAttemptEnded(TaskRef task, AttemptOutcome outcome, std::uint32_t serviceUs, bool repeatable,
                                    Now now)
 {
--- a/packages/core/scheduler.h
+++ b/packages/core/scheduler.h
@@ -131,6 +131,10 @@
     // Drops the queued tasks of a job; returns their count. Attempts in progress still need onAttemptEnded().
     std::uint32_t cancelQueued(JobId job, Now now);
 
+    // The dispatcher stops the attempt in progress because nobody needs its result. When it then ends as Failed, this
+    // says nothing about the backend server.
+    void noteStopped(TaskRef task);
+
     // repeatable: the template allows another attempt after Failed. Unknown outcomes are resolved by the dispatcher
     // first: it calls this with Failed, Completed or NotStarted, or with Unknown when it has given up (NextStep::Fail).
     NextStep onAttemptEnded(TaskRef task, AttemptOutcome outcome, std::uint32_t serviceUs, bool repeatable, Now now);
--- a/packages/core/slots.h
+++ b/packages/core/slots.h
@@ -33,6 +33,7 @@
     std::uint32_t memoryMb = 0;
     TaskPhase phase = TaskPhase::Queued;
     RetryReason retry = RetryReason::Count; // why the next attempt is made, Count: it is the first
+    bool stopped = false;                   // Running: the dispatcher has stopped the attempt
     std::uint32_t attempts = 0;             // started
     std::uint32_t failures = 0;             // ended as Failed
     std::uint32_t denials = 0;              // of the retry budget, in a row
