--- a/packages/core/dispatcher_streams.cpp
+++ b/packages/core/dispatcher_streams.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::int64_t grantSettleUs = usPerS;         // first grants wait this long for links to other entry VMs
+constexpr std::int64_t grantSettleUs = usPerS;         // the first entry VMs to meet must not claim the share of the others
 constexpr std::int64_t configAskPauseUs = usPerS / 2;  // between requests to peers
 constexpr std::int64_t snapshotSpreadUs = 10 * usPerS; // entry VMs append snapshots at different times
 constexpr std::int64_t releaseRetryUs = usPerS;        // until the release is read back
@@ -94,7 +94,7 @@
 {
     if (!ownershipAtEnd || ownershipDown || draining || step.now.monoUs < planner.nextPlanUs())
         return;
-    if (membership.live().size() <= 1 && step.now.monoUs < grantsFromUs)
+    if (step.now.monoUs < grantsFromUs)
         return;
     for (GrantRecord &grant : planner.plan(ownership, membership.live(), step.now, membership.medianClockErrorMs()))
         append(step, Stream::Ownership, std::move(grant));
--- a/tests/unit/core/cluster.h
+++ b/tests/unit/core/cluster.h
@@ -10,6 +10,7 @@
 
 #include "core/dispatcher.h"
 
+#include <algorithm>
 #include <cassert>
 #include <deque>
 #include <map>
@@ -314,6 +315,33 @@
         std::erase_if(m_messages, [](const auto &message) { return std::holds_alternative<M>(message.message); });
     }
 
+    struct Message
+    {
+        std::size_t from = 0;
+        std::size_t to = 0;
+        Incarnation incarnation{}; // of the sender
+        PeerMessage message;
+    };
+
+    // Removes the last held message of this type.
+    template <typename M> Message takeHeld()
+    {
+        const auto found = std::find_if(m_messages.rbegin(), m_messages.rend(), [](const Message &message) {
+            return std::holds_alternative<M>(message.message);
+        });
+        assert(found != m_messages.rend());
+        Message taken = std::move(*found);
+        m_messages.erase(std::next(found).base());
+        return taken;
+    }
+
+    void deliverNow(Message &&message)
+    {
+        handle(message.to,
+               PeerMessageReceived{nodeInfo(message.from).name, message.incarnation, std::move(message.message)});
+        deliver();
+    }
+
     std::vector<BackendInfo> backends{{.name = "b-1", .address = "127.0.0.1:9001", .zone = "z1", .rack = "r1"}};
     std::vector<LogRecord> config;
     std::vector<LogRecord> ownership;
@@ -340,13 +368,6 @@
         std::int64_t next[2] = {0, 0};
         int reported = -1; // what the last log event said, 1: down
     };
-    struct Message
-    {
-        std::size_t from = 0;
-        std::size_t to = 0;
-        Incarnation incarnation{};
-        PeerMessage message;
-    };
 
     void carryOut(std::size_t, AnswerCaller &action) { answers.emplace(action.caller, std::move(action.answer)); }
     void carryOut(std::size_t, AnswerKeys &action) { keyAnswers[action.caller] = std::move(action); }
