--- a/packages/core/dispatcher_forwards.cpp
+++ b/packages/core/dispatcher_forwards.cpp
@@ -244,7 +244,7 @@
         scheduler.onPeerLost(event.node.name, step.now);
     noteLink(event.node.name, event.node.incarnation);
     membership.onConnected(event.node, step.now, step.actions);
-    for (const auto &[backend, listed] : leavingBackends)
+    for (const std::string &backend : leavingBackends)
         step.act(SendPeer{event.node.name, BackendLeaving{backend}});
     reviewAllForwards(step);
 }
--- a/packages/core/dispatcher_state.h
+++ b/packages/core/dispatcher_state.h
@@ -23,6 +23,7 @@
 
 #include <map>
 #include <random>
+#include <set>
 
 namespace clementinelift::core {
 
@@ -304,7 +305,7 @@
     std::uint64_t nextAppend = 1;
     std::int64_t maxAcceptedIssueMs = 0;                                   // of owned keys
     std::map<std::string, std::int64_t, std::less<>> repeatAllowedSinceMs; // templates that ever allowed repeats
-    std::map<std::string, bool> leavingBackends;                           // value: the own VM list shows it, too
+    std::set<std::string> leavingBackends; // until the own VM list does not contain them any more
 
     // Draining.
     bool draining = false;
--- a/packages/core/dispatcher_streams.cpp
+++ b/packages/core/dispatcher_streams.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::int64_t grantSettleUs = usPerS;         // the first entry VMs to meet must not claim the share of the others
+constexpr std::int64_t grantSettleUs = usPerS; // the first entry VMs to meet must not claim the share of the others
 constexpr std::int64_t configAskPauseUs = usPerS / 2;  // between requests to peers
 constexpr std::int64_t snapshotSpreadUs = 10 * usPerS; // entry VMs append snapshots at different times
 constexpr std::int64_t releaseRetryUs = usPerS;        // until the release is read back
@@ -210,25 +210,15 @@
 
 void Dispatcher::State::on(Step &step, VmListRead &&event)
 {
-    // Peers may have read a newer list: a backend server that they report as leaving stays so until this list shows it
-    // as leaving and later as live again, or does not contain it any more.
+    // Peers may have read a newer list: a backend server that was reported as leaving stays so until it is not listed.
     absl::flat_hash_set<std::string_view> listed;
     for (BackendInfo &backend : event.backends) {
         listed.insert(backend.name);
-        const auto known = leavingBackends.find(backend.name);
-        if (backend.leaving && (known == leavingBackends.end() || !known->second)) {
-            const bool isNews = known == leavingBackends.end();
-            leavingBackends[backend.name] = true;
-            if (isNews)
-                announceLeaving(step, backend.name);
-        } else if (!backend.leaving && known != leavingBackends.end()) {
-            if (known->second)
-                leavingBackends.erase(known);
-            else
-                backend.leaving = true;
-        }
+        if (backend.leaving && leavingBackends.insert(backend.name).second)
+            announceLeaving(step, backend.name);
+        backend.leaving = backend.leaving || leavingBackends.contains(backend.name);
     }
-    std::erase_if(leavingBackends, [&](const auto &entry) { return !listed.contains(entry.first); });
+    std::erase_if(leavingBackends, [&](const std::string &name) { return !listed.contains(name); });
     scheduler.setBackends(event.backends, step.now);
     membership.onVmList(event.nodes, step.now, step.actions);
 }
@@ -245,7 +235,7 @@
 void Dispatcher::State::onPeer(Step &step, const PeerMessageReceived &from, BackendLeaving &&message)
 {
     (void)from;
-    const bool isNews = leavingBackends.try_emplace(message.backend, false).second;
+    const bool isNews = leavingBackends.insert(message.backend).second;
     scheduler.setLeaving(message.backend, step.now);
     if (isNews)
         announceLeaving(step, message.backend); // the first reader may not reach every entry VM
