--- a/packages/core/dedupe.cpp
+++ b/packages/core/dedupe.cpp
@@ -10,6 +10,7 @@
 constexpr unsigned stateShift = 62;
 constexpr std::uint64_t valueMask = (std::uint64_t(1) << stateShift) - 1;
 constexpr unsigned effectsShift = 8;
+constexpr std::uint64_t storedOverheadBytes = 64; // of the entry and the allocator, for the results of one job
 
 std::uint64_t pack(KeyState state, std::uint64_t value)
 {
@@ -24,9 +25,9 @@
 
 std::uint64_t sizeOf(const std::vector<std::string> &results)
 {
-    std::uint64_t bytes = results.size() * sizeof(std::string);
+    std::uint64_t bytes = storedOverheadBytes + results.size() * sizeof(std::string);
     for (const std::string &result : results)
-        bytes += result.size();
+        bytes += result.capacity();
     return bytes;
 }
 
--- a/packages/core/dispatcher_submissions.cpp
+++ b/packages/core/dispatcher_submissions.cpp
@@ -14,6 +14,7 @@
 constexpr std::int64_t repeatSettleMs = 10000;
 constexpr std::int64_t defaultDeadlineMs = 10000;     // of requests whose template is not known here
 constexpr std::int64_t refusalMarginUs = 10 * usPerS; // duplicates arrive at most this long after the deadline
+constexpr std::size_t traceEventsOfOneTask = 4;       // accepted, started, ended, answered
 constexpr int keyTriesPerKey = 4096;                  // a share of 1/256 of the partitions fails 1 of 10^7 keys
 constexpr int maxKeyTries = 200000;                   // about 20 ms
 
@@ -199,6 +200,7 @@
     job.deadlineUs = step.now.monoUs + deadlineMs * usPerMs;
     job.requests = std::move(request.tasks);
     job.tasks.resize(job.requests.size());
+    job.trace.events.reserve(traceEventsOfOneTask);
     job.trace.add(step.now.wallMs, TraceStep::Accepted, 0, static_cast<std::uint32_t>(job.tasks.size()));
     dedupe.remember(job.organisation, job.key, request.bodyHash, job.id);
     maxAcceptedIssueMs = std::max(maxAcceptedIssueMs, issueTimeMs(job.key));
