--- /dev/null
+++ b/packages/net/bounded_json.h
@@ -0,0 +1,111 @@
+// JSON and CBOR of strangers as a nlohmann value: bounded depth and size, no exceptions.
+//
+// nlohmann reads nested CBOR by recursion and throws on oversized lengths even when asked not to, so both are checked
+// in the callbacks of the parser, before it descends or allocates.
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace clementinelift::net {
+
+using Json = nlohmann::json;
+
+struct ParseLimits
+{
+    std::size_t maxDepth = 16;
+    std::size_t maxValues = 1u << 20; // of all kinds; a value takes 16 bytes or more
+};
+
+namespace detail {
+
+// Builds the value like nlohmann's own parser and stops at the limits.
+class BoundedParser
+{
+public:
+    BoundedParser(Json &root, const ParseLimits &limits, std::size_t inputBytes)
+        : m_builder(root, false), m_limits(limits), m_inputBytes(inputBytes)
+    {}
+
+    bool null() { return count() && m_builder.null(); }
+    bool boolean(bool value) { return count() && m_builder.boolean(value); }
+    bool number_integer(Json::number_integer_t value) { return count() && m_builder.number_integer(value); }
+    bool number_unsigned(Json::number_unsigned_t value) { return count() && m_builder.number_unsigned(value); }
+    bool number_float(Json::number_float_t value, const std::string &text)
+    {
+        return count() && m_builder.number_float(value, text);
+    }
+    bool string(std::string &value) { return count() && m_builder.string(value); }
+    bool binary(Json::binary_t &value) { return count() && m_builder.binary(value); }
+    bool start_object(std::size_t size) { return open(size) && m_builder.start_object(size); }
+    bool key(std::string &name) { return m_builder.key(name); }
+    bool end_object() { return close() && m_builder.end_object(); }
+    bool start_array(std::size_t size) { return open(size) && m_builder.start_array(size); }
+    bool end_array() { return close() && m_builder.end_array(); }
+    bool parse_error(std::size_t position, const std::string &, const nlohmann::detail::exception &error)
+    {
+        m_error = error.what();
+        const std::size_t text = m_error.find("] "); // without the library's error number
+        m_error = "byte " + std::to_string(position) + ": " + m_error.substr(text == std::string::npos ? 0 : text + 2);
+        return false;
+    }
+    const std::string &error() const { return m_error; }
+
+private:
+    bool count()
+    {
+        if (++m_values <= m_limits.maxValues)
+            return true;
+        m_error = "more than " + std::to_string(m_limits.maxValues) + " values";
+        return false;
+    }
+    bool open(std::size_t size)
+    {
+        if (++m_depth > m_limits.maxDepth) {
+            m_error = "nested deeper than " + std::to_string(m_limits.maxDepth);
+            return false;
+        }
+        if (size != static_cast<std::size_t>(-1) && size > m_inputBytes) {
+            m_error = "a length exceeds the input";
+            return false;
+        }
+        return count();
+    }
+    bool close()
+    {
+        --m_depth;
+        return true;
+    }
+
+    nlohmann::detail::json_sax_dom_parser<Json> m_builder;
+    ParseLimits m_limits;
+    std::size_t m_inputBytes;
+    std::size_t m_depth = 0;
+    std::size_t m_values = 0;
+    std::string m_error;
+};
+
+} // namespace detail
+
+// Discarded (Json::is_discarded) when the input is malformed or over a limit; error then says where and why.
+inline Json parseBounded(std::string_view input, Json::input_format_t format, const ParseLimits &limits,
+                         std::string &error)
+{
+    Json root;
+    detail::BoundedParser parser(root, limits, input.size());
+    if (Json::sax_parse(input.begin(), input.end(), &parser, format))
+        return root;
+    error = parser.error();
+    return Json(Json::value_t::discarded);
+}
+
+// Text of a value; bytes that are not UTF-8 are replaced.
+inline std::string writeJson(const Json &value)
+{
+    return value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+} // namespace clementinelift::net
--- a/packages/net/peer_link.cpp
+++ b/packages/net/peer_link.cpp
@@ -1,6 +1,6 @@
 #include "net/peer_link.h"
 
-#include <nlohmann/json.hpp>
+#include "net/bounded_json.h"
 
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
@@ -25,7 +25,6 @@
 
 namespace {
 
-using Json = nlohmann::json;
 using ServerEndpoint = websocketpp::server<websocketpp::config::asio>;
 using ClientEndpoint = websocketpp::client<websocketpp::config::asio_client>;
 using Handle = websocketpp::connection_hdl;
@@ -34,6 +33,7 @@
 namespace close_status = websocketpp::close::status;
 
 constexpr std::size_t maxNameBytes = 256; // of every text in hello but the secret
+constexpr ParseLimits helloLimits{1, 32};
 constexpr auto stopTime = std::chrono::milliseconds(500);
 
 enum class Refusal { None, Secret, Version, Hello };
@@ -84,7 +84,8 @@
 HelloResult readHello(const PeerLinkSettings &settings, const std::string &bytes)
 {
     HelloResult result;
-    const Json map = Json::from_cbor(bytes, true, false);
+    std::string ignored;
+    const Json map = parseBounded(bytes, Json::input_format_t::cbor, helloLimits, ignored);
     if (!map.is_object())
         return result;
     const std::string *type = findText(map, "t");
