--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -16,14 +16,15 @@
 constexpr char usage[] = R"(Simulated services and callers for tests of clementinelift.
 
 Usage:
-  clementinelift-standins serve [options] [--entry=SPEC]...
-  clementinelift-standins load --platform=ADDRESS (--to=ADDRESS)... [options]
+  clementinelift-standins serve [options]
+  clementinelift-standins load --platform=ADDRESS --to=LIST [options]
+  clementinelift-standins counts --platform=ADDRESS
   clementinelift-standins (-h | --help)
 
-Options of serve:
+Serve options:
   --listen=ADDRESS        Platform and control server [default: 127.0.0.1:0].
   --port-file=FILE        Write the port of the platform server to FILE when all servers listen.
-  --entry=SPEC            Entry VM in the VM list: NAME,ADDRESS,ZONE.
+  --entry=LIST            Entry VMs in the VM list: NAME,ADDRESS,ZONE;NAME,ADDRESS,ZONE...
   --backends=N            Backend servers [default: 50].
   --zones=N               Availability zones [default: 3].
   --per-rack=N            Backend servers of a rack [default: 8].
@@ -35,9 +36,9 @@
   --retention-ms=N        Age at which records are dropped [default: 3600000].
   --stragglers=SHARE      Share of the tasks that run 8 times longer [default: 0.005].
 
-Options of load:
+Load options:
   --platform=ADDRESS      Platform server of the stand-ins.
-  --to=ADDRESS            Caller interface of an entry VM.
+  --to=LIST               Caller interfaces of the entry VMs: ADDRESS,ADDRESS...
   --organisations=LIST    Names [default: north,south,west].
   --templates=LIST        NAME:never or NAME:allowed [default: reorder:never,quote:allowed].
   --jobs=N                Jobs in all [default: 1000].
@@ -47,6 +48,8 @@
   --max-run-ms=N          Longest ordinary task [default: 1000].
   --long-share=SHARE      Share of the tasks that run 3 s [default: 0.002].
   --failing-share=SHARE   Share of the tasks that run and fail [default: 0].
+  --misdeclared=SHARE     Share of the tasks with a run time 5 times off [default: 0.1].
+  --burst=SHARE           Share of the jobs that arrive at once in the middle [default: 0].
   --deadline-ms=N         Deadline of a job [default: 15000].
   --resubmit-ms=N         Callers resubmit after this time [default: 17000].
   --impatient=SHARE       Share of the callers that resubmit after 400 ms [default: 0.03].
@@ -102,7 +105,9 @@
     options.log.retentionMs = number(arguments, "--retention-ms");
     options.seed = static_cast<std::uint64_t>(number(arguments, "--seed"));
     options.log.seed = options.seed;
-    for (const std::string &spec : arguments.at("--entry").asStringList()) {
+    if (!arguments.at("--entry"))
+        return options;
+    for (const std::string &spec : split(text(arguments, "--entry"), ';')) {
         const auto parts = split(spec, ',');
         if (parts.size() != 3)
             throw std::invalid_argument("--entry=" + spec + ": NAME,ADDRESS,ZONE expected");
@@ -121,7 +126,7 @@
             throw std::invalid_argument("--templates: " + entry + ": NAME:never or NAME:allowed expected");
         options.templates.push_back({parts[0], parts[1] == "allowed"});
     }
-    options.entryVms = arguments.at("--to").asStringList().size();
+    options.entryVms = split(text(arguments, "--to"), ',').size();
     options.jobs = static_cast<std::uint32_t>(number(arguments, "--jobs"));
     options.jobsPerS = decimal(arguments, "--rate");
     options.maxTasks = static_cast<std::uint32_t>(number(arguments, "--max-tasks"));
@@ -129,6 +134,8 @@
     options.maxRunUs = number(arguments, "--max-run-ms") * 1000;
     options.longShare = decimal(arguments, "--long-share");
     options.failingShare = decimal(arguments, "--failing-share");
+    options.misdeclaredShare = decimal(arguments, "--misdeclared");
+    options.burstShare = decimal(arguments, "--burst");
     options.deadlineMs = number(arguments, "--deadline-ms");
     options.resubmitMs = number(arguments, "--resubmit-ms");
     options.impatientShare = decimal(arguments, "--impatient");
@@ -171,7 +178,9 @@
     try {
         if (arguments.at("serve").asBool())
             return serve(arguments);
-        return runLoad(loadOptions(arguments), {arguments.at("--to").asStringList(), text(arguments, "--platform")});
+        if (arguments.at("counts").asBool())
+            return printCounts(text(arguments, "--platform"));
+        return runLoad(loadOptions(arguments), {split(text(arguments, "--to"), ','), text(arguments, "--platform")});
     } catch (const std::exception &exception) {
         std::cerr << "stand-ins: " << exception.what() << '\n';
         return 2;
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -138,25 +138,18 @@
         m_timer.join();
     if (m_server)
         m_server->stop(0);
-    for (auto &server : m_backendServers)
-        server->stop(0);
+    for (const auto &server : m_backendServers) {
+        if (server != nullptr)
+            server->stop(0);
+    }
 }
 
 tl::expected<void, std::string> Platform::start(const std::string &address)
 {
-    m_backendServers.reserve(m_pool.size());
+    m_backendServers.resize(m_pool.size());
     for (std::size_t i = 0; i < m_pool.size(); ++i) {
-        net::HttpServerSettings settings;
-        settings.maxConnections = m_pool.spec(i).connections;
-        settings.threads = 1;
-        auto started = net::HttpServer::start(settings, [this, i](net::HttpCall call, net::HttpRequest &&request) {
-            handleBackend(i, call, std::move(request));
-        });
-        if (!started)
-            return tl::unexpected(started.error());
-        const std::lock_guard lock(m_mutex);
-        m_backendServers.push_back(std::move(*started));
-        m_pool.setAddress(i, "127.0.0.1:" + std::to_string(m_backendServers[i]->port()));
+        if (const auto listening = listen(i); !listening)
+            return listening;
         const BackendSpec &spec = m_pool.spec(i);
         m_list.put({spec.name, true, spec.address, spec.zone, spec.rack, false, spec.slots, spec.connections,
                     spec.cores, spec.memoryMb},
@@ -174,6 +167,59 @@
     return {};
 }
 
+std::shared_ptr<net::HttpServer> Platform::backendServer(std::size_t backend)
+{
+    const std::lock_guard lock(m_serverMutex);
+    return m_backendServers[backend];
+}
+
+tl::expected<void, std::string> Platform::listen(std::size_t backend)
+{
+    net::HttpServerSettings settings;
+    {
+        const std::lock_guard lock(m_mutex);
+        const BackendSpec &spec = m_pool.spec(backend);
+        settings.address = spec.address.empty() ? settings.address : spec.address;
+        settings.maxConnections = spec.connections;
+        settings.threads = 1;
+    }
+    auto started = net::HttpServer::start(settings, [this, backend](net::HttpCall call, net::HttpRequest &&request) {
+        handleBackend(backend, call, std::move(request));
+    });
+    if (!started)
+        return tl::unexpected(started.error());
+    const std::lock_guard serverLock(m_serverMutex);
+    const std::lock_guard lock(m_mutex);
+    m_backendServers[backend] = std::move(*started);
+    m_pool.setAddress(backend, "127.0.0.1:" + std::to_string(m_backendServers[backend]->port()));
+    return {};
+}
+
+std::string Platform::followMode(std::size_t backend)
+{
+    bool crashed = false;
+    std::map<std::string, net::HttpCall> calls;
+    {
+        const std::lock_guard lock(m_mutex);
+        crashed = m_pool.isCrashed(backend);
+        if (crashed)
+            calls.swap(m_calls[backend]);
+    }
+    const auto server = backendServer(backend);
+    if (crashed && server != nullptr) {
+        // Before the stop, which answers 503 to what is still open.
+        for (const auto &[attempt, call] : calls)
+            server->drop(call);
+        server->stop(0);
+        const std::lock_guard lock(m_serverMutex);
+        m_backendServers[backend].reset();
+    } else if (!crashed && server == nullptr) {
+        if (const auto listening = listen(backend); !listening)
+            return listening.error();
+    }
+    return {};
+}
+
 // Platform requests ---------------------------------------------------------------------------------
 
 void Platform::handlePlatform(net::HttpCall call, net::HttpRequest &&request)
@@ -210,9 +256,8 @@
         const std::lock_guard lock(m_mutex);
         const AppendResult result = m_log.append(stream, request.body, monotonicUs(), wallMs());
         if (result.status == AppendStatus::Appended) {
-            // A lost answer is never sent: the appender runs into its timeout.
-            if (!result.answerLost)
-                m_timedReplies.push_back({result.readyUs, {0, call, jsonAnswer(200, {{"offset", result.offset}})}});
+            Reply reply{0, call, jsonAnswer(200, {{"offset", result.offset}}), result.answerLost};
+            m_timedReplies.push_back({result.readyUs, std::move(reply)});
             m_changed = true;
             m_wake.notify_all();
             return;
@@ -290,15 +335,21 @@
     const auto command = nlohmann::json::parse(body, nullptr, false);
     if (!command.is_object())
         return errorAnswer(400, "the body must be a JSON object");
-    const std::lock_guard lock(m_mutex);
+    const std::lock_guard controlLock(m_controlMutex);
     std::string error;
+    std::optional<std::size_t> backend;
     try {
+        const std::lock_guard lock(m_mutex);
         error = applyControl(command, monotonicUs());
+        if (command.at("op") == "backend")
+            backend = m_pool.find(command.value("name", ""));
+        m_changed = true;
     } catch (const nlohmann::json::exception &exception) {
         error = exception.what();
     }
-    m_changed = true;
     m_wake.notify_all();
+    if (error.empty() && backend)
+        error = followMode(*backend);
     return error.empty() ? jsonAnswer(200, {{"ok", true}}) : errorAnswer(400, error);
 }
 
@@ -399,17 +450,20 @@
 {
     const std::string_view path = request.path;
     net::HttpAnswer answer = errorAnswer(404, "unknown path");
+    bool dropped = false; // a crashed backend server closes the connection
     {
         const std::lock_guard lock(m_mutex);
         const std::int64_t nowUs = monotonicUs();
         if (path == "/healthz") {
             const auto healthy = m_pool.probe(backend);
-            if (!healthy)
-                return; // a crashed backend server answers nothing
-            answer = *healthy ? jsonAnswer(200, {{"healthy", true}}) : errorAnswer(503, "unhealthy");
+            dropped = !healthy;
+            if (healthy)
+                answer = *healthy ? jsonAnswer(200, {{"healthy", true}}) : errorAnswer(503, "unhealthy");
         } else if (path.starts_with(tasksPrefix)) {
             const std::string attempt(path.substr(tasksPrefix.size()));
-            if (request.method == "GET") {
+            if (m_pool.isCrashed(backend)) {
+                dropped = true;
+            } else if (request.method == "GET") {
                 const KnownAttempt known = m_pool.query(backend, attempt);
                 answer = jsonAnswer(200, {{"state", known.state}, {"result", known.result}});
             } else if (request.method == "DELETE") {
@@ -425,13 +479,20 @@
                     m_changed = true;
                     m_wake.notify_all();
                 }
-                if (status != StartStatus::Busy)
-                    return; // answered at the end of the task, or never
+                if (status == StartStatus::Started)
+                    return; // answered at the end of the task
+                dropped = status != StartStatus::Busy;
                 answer = {503, "busy", "text/plain", {{"X-Not-Started", "busy"}}};
             }
         }
     }
-    m_backendServers[backend]->answer(call, std::move(answer));
+    const auto server = backendServer(backend);
+    if (server == nullptr)
+        return;
+    if (dropped)
+        server->drop(call);
+    else
+        server->answer(call, std::move(answer));
 }
 
 // Timer ---------------------------------------------------------------------------------------------
@@ -459,8 +520,8 @@
 {
     for (const EndedTask &task : m_pool.advance(nowUs)) {
         const auto call = m_calls[task.backend].extract(task.attempt);
-        if (!call.empty() && task.state != EndState::Lost)
-            replies.push_back({task.backend + 1, call.mapped(), endAnswer(task)});
+        if (!call.empty())
+            replies.push_back({task.backend + 1, call.mapped(), endAnswer(task), task.state == EndState::Lost});
     }
     std::int64_t nextUs = m_pool.nextEndUs();
     std::erase_if(m_timedReplies, [&](TimedReply &timed) {
@@ -476,7 +537,7 @@
             nextUs = std::min(nextUs, read.untilUs);
             return false;
         }
-        replies.push_back({0, read.call, answerRead(read, nowUs)});
+        replies.push_back({0, read.call, answerRead(read, nowUs), false});
         return true;
     });
     return nextUs;
@@ -484,8 +545,20 @@
 
 void Platform::deliver(std::vector<Reply> &replies)
 {
-    for (Reply &reply : replies)
-        server(reply.server).answer(reply.call, std::move(reply.answer));
+    for (Reply &reply : replies) {
+        if (reply.server == 0) {
+            if (reply.dropped)
+                m_server->drop(reply.call);
+            else
+                m_server->answer(reply.call, std::move(reply.answer));
+            continue;
+        }
+        const auto server = backendServer(reply.server - 1);
+        if (server != nullptr && reply.dropped)
+            server->drop(reply.call);
+        else if (server != nullptr)
+            server->answer(reply.call, std::move(reply.answer));
+    }
 }
 
 } // namespace clementinelift::standins
