Start on the fastest free slot instead of waiting for a faster one

Cause: a large task at the head waited for ever faster slots and held up everything behind it. Change: no waiting for a faster own slot while any suitable one is free.

--- a/packages/core/basic_scheduler_impl.h
+++ b/packages/core/basic_scheduler_impl.h
@@ -604,7 +604,6 @@
     const double ownUs = own ? m_model.expectedPerSuccessUs(shape, *own) : never;
     const auto faster = m_pool.fasterThan(own ? m_pool[*own].bucket : factorBuckets);
     const double gapUs = faster.rate > 0 ? m_model.meanBaseUs() / faster.rate : never;
-    const double waitUs = gapUs + base * faster.meanFactor;
 
     const double weight = std::clamp(organisation(job).parameters.responseWeight, 0.0, 1.0);
     const double costUs = weight > 0 ? std::min(detail::maxBorrowCostUs, detail::borrowCostUs * (1 - weight) / weight)
@@ -618,7 +617,7 @@
             return Step::Again;
         }
     }
-    if (own && ownUs <= waitUs) {
+    if (own) {
         startNext(place, *own, now, decisions);
         return Step::Again;
     }
@@ -627,21 +626,6 @@
         skipped.push_back(place);
         return Step::Again;
     }
-    if (!own)
-        return Step::Wait;
-    // The slow slot serves the task that would otherwise wait longest.
-    const auto last = m_queue.last();
-    if (last && mayStart(*last, now) && !dropHopeless(*last, now)) {
-        const auto &lastJob = m_jobs.at(last->job);
-        const TaskShape lastShape = shapeOf(lastJob, lastJob.tasks[lastJob.queued.back()]);
-        const double lastBase = m_model.baseUs(lastShape);
-        if (fits(lastShape, m_pool[*own].info)
-            && m_model.expectedPerSuccessUs(lastShape, *own) <= gapUs * m_readyTasks + lastBase * faster.meanFactor) {
-            startNext(*last, *own, now, decisions);
-            return Step::Again;
-        }
-    }
-    m_recheckUs = now.monoUs + detail::recheckUs;
     return Step::Wait;
 }
 
