Price slot requests by learned chances of a grant and a bound on wasted messages

Cause: 64% of the slot requests were refused: the fastest free slot that a peer reported was taken before the request came. Change: peers report the smoothed factor of their fastest free slot; the share of granted requests is learned per peer and range of gain; a price for refusals is adjusted so that 3% of the messages are wasted.

--- a/packages/core/basic_scheduler.h
+++ b/packages/core/basic_scheduler.h
@@ -24,11 +24,21 @@
 constexpr std::int64_t requestTimeoutUs = 50 * usPerMs;
 constexpr std::int64_t loanMarginMs = 1000; // a loan outlives the deadline of its task by this
 constexpr std::int64_t reportStaleUs = 2 * usPerS;
+constexpr double noOfferFactor = 6;     // stands for no free slot
+constexpr double offerRate = 0.05;      // of the smoothed offer, for each call of decide()
+constexpr double grantedRate = 0.1;     // of the smoothed share of granted requests
+constexpr double grantedForget = 0.005; // with each report, so that a peer that refused is asked again
+constexpr double leastGain = 0.1;       // of a granted slot over the own one
+constexpr double wastedTarget = 0.03;   // of the messages
+constexpr double priceStep = 0.05;      // of the logarithm for each message above the target
+constexpr double minLogPrice = 6;       // 0.4 ms
+constexpr double maxLogPrice = 16;      // 9 s
+constexpr double maxPriceScale = 50;
+constexpr double minPriceScale = 0.1;
 constexpr std::int64_t relaxEveryUs = 500 * usPerMs;
 constexpr std::int64_t busyBlockUs = 30 * usPerMs;
 constexpr std::int64_t recheckUs = 20 * usPerMs; // while a task waits for a faster slot
-constexpr double borrowCostUs = 20.0 * usPerMs;  // gain that justifies a borrow at response weight 0.5
-constexpr double maxBorrowCostUs = 2.0 * usPerS;
+constexpr double borrowCostUs = 5.0 * usPerMs;   // price of the messages of a borrow at response weight 0.5
 constexpr double hopelessShare = 0.25;   // of the expected time: less than this left means that the task cannot finish
 constexpr double certainWaitShare = 0.7; // of the expected wait counts at admission
 constexpr double poisonRate = 0.6;       // of failed attempts of a template: failures say nothing about backend servers
@@ -88,6 +98,7 @@
     {
         std::string node;
         double expectedUs = 0;
+        std::uint32_t range = 0; // of the gain
     };
     enum class Step : std::uint8_t { Again, Wait };
     using LoanKey = std::pair<std::string, std::uint64_t>;
@@ -113,6 +124,7 @@
     void retryTask(TaskRef ref, Now now);
 
     void startQueued(Now now, Decisions &decisions);
+    void trackOffer();
     Step placeNext(Now now, Decisions &decisions, std::vector<FairQueue::Place> &skipped);
     bool mayStart(const FairQueue::Place &place, Now now);
     bool dropHopeless(const FairQueue::Place &place, Now now);
@@ -120,7 +132,8 @@
                       std::vector<FairQueue::Place> &skipped);
     void startNext(const FairQueue::Place &place, BackendId backend, Now now, Decisions &decisions);
     void start(TaskRef ref, BackendId backend, std::uint64_t request, Now now, Decisions &decisions);
-    std::optional<Offer> bestOffer(const TaskShape &shape, Now now) const;
+    std::optional<Offer> bestOffer(const TaskShape &shape, double aloneUs, double weight, Now now) const;
+    void countSlotMessages(double sent, double wasted);
     void requestSlot(const FairQueue::Place &place, const Offer &offer, double maxUs, Now now);
     void returnUnused(std::uint64_t request, const std::string &node);
     void send(std::string_view node, PeerMessage message);
@@ -155,6 +168,8 @@
     std::vector<std::pair<std::string, SlotGrant>> m_grants; // to be used by the next decide()
     std::uint64_t m_nextRequest = 1;
     std::size_t m_reportRound = 0;
+    double m_logOffer = 0;  // log of the smoothed factor of the fastest free slot
+    double m_logPrice = 10; // log of the price of a refusal, us
 
     std::priority_queue<Alarm> m_alarms;
     std::uint64_t m_nextAlarm = 0;
--- a/packages/core/basic_scheduler_impl.h
+++ b/packages/core/basic_scheduler_impl.h
@@ -485,6 +485,7 @@
 {
     tick(now);
     startQueued(now, decisions);
+    trackOffer();
     const auto append = [](auto &target, auto &source) {
         std::move(source.begin(), source.end(), std::back_inserter(target));
         source.clear();
@@ -500,6 +501,17 @@
     append(decisions.notices, m_notices);
 }
 
+// The fastest free slot of one moment is taken long before a report reaches a peer: the smoothed one is reported.
+template <SlotPolicy P> void BasicScheduler<P>::trackOffer()
+{
+    double logFactor = std::log(detail::noOfferFactor);
+    m_pool.visitFree([&](BackendId id) {
+        logFactor = std::log(m_model.factor(id));
+        return false;
+    });
+    m_logOffer += detail::offerRate * (logFactor - m_logOffer);
+}
+
 template <SlotPolicy P> void BasicScheduler<P>::startQueued(Now now, Decisions &decisions)
 {
     // Granted slots first: each one was asked for by a task.
@@ -606,16 +618,11 @@
     const double gapUs = faster.rate > 0 ? m_model.meanBaseUs() / faster.rate : never;
 
     const double weight = std::clamp(organisation(job).parameters.responseWeight, 0.0, 1.0);
-    const double costUs = weight > 0 ? std::min(detail::maxBorrowCostUs, detail::borrowCostUs * (1 - weight) / weight)
-                                     : detail::maxBorrowCostUs;
-    if (const auto offer = bestOffer(shape, now)) {
-        // A borrowed slot also helps all tasks behind this one, so the whole queue counts when no own slot is free.
-        const double queueUs = gapUs * m_readyTasks + base * faster.meanFactor;
-        const double aloneUs = own ? std::min(ownUs, queueUs) : queueUs;
-        if (offer->expectedUs + costUs < aloneUs) {
-            requestSlot(place, *offer, std::min(aloneUs, never / 2) - costUs, now);
-            return Step::Again;
-        }
+    // A borrowed slot also helps all tasks behind this one, so the whole queue counts when no own slot is free.
+    const double aloneUs = own ? ownUs : std::min(never, gapUs * m_readyTasks + base * faster.meanFactor);
+    if (const auto offer = bestOffer(shape, aloneUs, weight, now)) {
+        requestSlot(place, *offer, std::min(aloneUs, never / 2), now);
+        return Step::Again;
     }
     if (own) {
         startNext(place, *own, now, decisions);
@@ -654,6 +661,7 @@
         ++m_counters.firstAttempts;
     }
     m_counters.slotsBorrowed += request != 0 ? 1 : 0;
+    countSlotMessages(request != 0 ? 3 : 1, 0); // with the grant and the return
     owner.limiter.onStart();
     m_breakers.onStart(backend, now.monoUs);
     updateBackend(backend, now.monoUs, [&](BackendSlots &slots) {
@@ -666,21 +674,54 @@
 
 // Borrowing -----------------------------------------------------------------------------------------
 
+namespace detail {
+
+inline std::uint32_t gainRange(double ratio)
+{
+    constexpr std::array<double, gainRanges - 1> bounds = {0.8, 1.0, 1.25, 1.6, 2.2};
+    return static_cast<std::uint32_t>(std::upper_bound(bounds.begin(), bounds.end(), ratio) - bounds.begin());
+}
+
+} // namespace detail
+
+// The peer whose slot is worth most: the gain times the share of such requests that it granted lately, less the price
+// of the messages. Empty when starting or waiting here is worth more.
 template <SlotPolicy P>
-std::optional<typename BasicScheduler<P>::Offer> BasicScheduler<P>::bestOffer(const TaskShape &shape, Now now) const
+std::optional<typename BasicScheduler<P>::Offer> BasicScheduler<P>::bestOffer(const TaskShape &shape, double aloneUs,
+                                                                              double weight, Now now) const
 {
     std::optional<Offer> best;
+    double bestWorth = 0;
+    const double priceScale = std::min((1 - weight) / std::max(weight, 1e-3), detail::maxPriceScale);
+    const double borrowUs = detail::borrowCostUs * priceScale;
+    const double refusalUs = std::exp(m_logPrice) * std::max(priceScale, detail::minPriceScale);
     const double declaredBase = m_model.baseUs(shape) / m_model.scale();
     for (const auto &[name, peer] : m_peers) {
         if (peer.freeSlots == 0 || peer.bestFactor <= 0 || now.monoUs - peer.reportUs > detail::reportStaleUs)
             continue;
-        const double expected = declaredBase * peer.bestFactor + static_cast<double>(peer.roundTripUs);
-        if (!best || expected < best->expectedUs)
-            best = Offer{name, expected};
+        const double offerUs = declaredBase * peer.bestFactor;
+        const std::uint32_t range = detail::gainRange(aloneUs / offerUs);
+        const double share = peer.granted[range];
+        // A granted slot is faster than asked for; where it was expected to be slower, half of the difference is
+        // assumed.
+        const double gainUs = std::max(aloneUs - offerUs, aloneUs * detail::leastGain)
+                - static_cast<double>(peer.roundTripUs) - borrowUs;
+        const double worth = share * gainUs - (1 - share) * refusalUs - static_cast<double>(peer.roundTripUs);
+        if (worth > bestWorth) {
+            bestWorth = worth;
+            best = Offer{name, offerUs, range};
+        }
     }
     return best;
 }
 
+// Each refusal raises the price of a refusal, each other message lowers it, so that their share settles at the target.
+template <SlotPolicy P> void BasicScheduler<P>::countSlotMessages(double sent, double wasted)
+{
+    m_logPrice = std::clamp(m_logPrice + detail::priceStep * (wasted - detail::wastedTarget * sent),
+                            detail::minLogPrice, detail::maxLogPrice);
+}
+
 template <SlotPolicy P> void BasicScheduler<P>::send(std::string_view node, PeerMessage message)
 {
     m_outbox.push_back({std::string(node), std::move(message)});
@@ -698,9 +739,10 @@
     const std::uint64_t id = m_nextRequest++;
     task.phase = TaskPhase::Requested;
     task.request = id;
-    m_requests[id] = OpenRequest{offer.node, TaskRef{place.job, index}};
+    m_requests[id] = OpenRequest{offer.node, TaskRef{place.job, index}, offer.range};
     --m_peers.at(offer.node).freeSlots;
     ++m_counters.slotRequests;
+    countSlotMessages(1, 0);
     send(offer.node,
          SlotRequest{id, std::string(m_configuration.name(job.templateId)), task.cores, task.memoryMb,
                      bound < 4e9 ? static_cast<std::uint32_t>(bound) : 0});
@@ -724,6 +766,7 @@
 {
     send(node, SlotReturn{request, false, AttemptOutcome::NotStarted, 0});
     ++m_counters.grantsUnused;
+    countSlotMessages(2, 3);
     m_requests.erase(request);
 }
 
@@ -764,6 +807,10 @@
         ++m_counters.grantsUnused;
         return;
     }
+    if (const auto peer = m_peers.find(node); peer != m_peers.end()) {
+        double &granted = peer->second.granted[request->second.range];
+        granted += detail::grantedRate * (1 - granted);
+    }
     m_grants.emplace_back(std::string(node), message);
     m_dirty = true;
 }
@@ -774,8 +821,11 @@
     if (request == m_requests.end() || request->second.node != node || request->second.granted)
         return;
     ++m_counters.slotsRefused;
-    if (const auto peer = m_peers.find(node); peer != m_peers.end())
-        peer->second.freeSlots = 0; // until its next report
+    countSlotMessages(1, 2);
+    if (const auto peer = m_peers.find(node); peer != m_peers.end()) {
+        double &granted = peer->second.granted[request->second.range];
+        granted -= detail::grantedRate * granted;
+    }
     requeue(message.requestId, now);
     m_requests.erase(message.requestId);
 }
@@ -851,10 +901,7 @@
     Report message;
     message.freeSlots = P::usesHeldSlots ? m_pool.freeSlots() : 0;
     message.queuedTasks = m_queuedTasks;
-    m_pool.visitFree([&](BackendId id) {
-        message.bestFactor = static_cast<float>(m_model.factor(id) * m_model.scale());
-        return false;
-    });
+    message.bestFactor = static_cast<float>(std::exp(m_logOffer) * m_model.scale());
     message.configNext = m_configuration.nextOffset();
     const double seconds = static_cast<double>(m_settings.reportIntervalMs) / 1000;
     for (auto &organisation : m_organisations) {
@@ -875,6 +922,9 @@
             send(names[m_reportRound % names.size()], message);
     }
     ++m_reportRound;
+    for (auto &[name, peer] : m_peers)
+        for (double &granted : peer.granted)
+            granted += detail::grantedForget * (0.5 - granted);
     updateShares(now);
 }
 
--- a/packages/core/slots.h
+++ b/packages/core/slots.h
@@ -58,6 +58,9 @@
 
 // Peers ---------------------------------------------------------------------------------------------
 
+// Ranges of the time on an own slot over the reported time on a peer's: the peer's answers are learned for each one.
+constexpr std::uint32_t gainRanges = 6;
+
 struct PeerHeadroom
 {
     std::string zone;
@@ -65,6 +68,7 @@
     std::uint32_t freeSlots = 0; // of the last report, less what was asked for since
     double bestFactor = 0;       // time per success over declared time, of the fastest free slot
     std::int64_t reportUs = -1;  // -1: none yet
+    std::array<double, gainRanges> granted{0.5, 0.5, 0.5, 0.5, 0.5, 0.5}; // smoothed share of requests, by range
 };
 
 // Loans ---------------------------------------------------------------------------------------------
@@ -81,7 +85,8 @@
 {
     std::string node;
     TaskRef task;
-    bool wanted = true; // false: the task has gone, the grant may serve another one
+    std::uint32_t range = 0; // of the gain
+    bool wanted = true;      // false: the task has gone, the grant may serve another one
     bool granted = false;
 };
 
