Add the fuzz harness and the scenario runner

One to three cores run in virtual time against fakes of the log service, links, VM list and backend servers; an oracle checks starts, answers, refusals, leaving, draining and configuration. Fuzz failures are printed as scenario files.

--- /dev/null
+++ b/tests/fuzz/fuzz.cpp
@@ -0,0 +1,140 @@
+// Random steps against one to three cores. RC_PARAMS sets the seed and the number of cases, for example
+//     RC_PARAMS="seed=7 max_success=20000" build/bin/fuzz_core
+// A failure is printed as a scenario file: shrunk steps that tests/scenarios can keep.
+#include "fuzz/steps.h"
+
+#include <rapidcheck.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace clementinelift::fuzz {
+
+namespace {
+
+constexpr int settleMs = 16000; // longer than every deadline, suspicion and grant
+
+// Numbers that shrink towards harmless steps; toLine() gives them a meaning.
+struct Draw
+{
+    int kind = 0;
+    int a = 0;
+    int b = 0;
+    int c = 0;
+};
+
+std::string toLine(const Draw &draw, int nodes, int backends)
+{
+    const std::string node = absl::StrCat("e", draw.a % nodes);
+    const std::string other = absl::StrCat("e", draw.b % nodes);
+    const std::string backend = absl::StrCat("b", draw.b % backends);
+    const std::string id = absl::StrCat("k", draw.b % 12);
+    constexpr std::array modes{"ok", "failing", "stalled", "busy", "mute", "late", "crashed"};
+    constexpr std::array deadlines{300, 1000, 2500, 5000};
+    if (draw.kind < 40) {
+        // The parity of the id decides the template, so that a resubmission has the same body but for one in 16.
+        return absl::StrCat("submit ", id, " at=", node, " template=", draw.b % 2 == 0 ? "once" : "again",
+                            " tasks=", 1 + draw.b % 4, " run=", 20 + draw.b % 12 * 40,
+                            " deadline=", deadlines[draw.c % 4], " body=", draw.c % 16 == 15 ? 1 : 0,
+                            " wait=", draw.c % 8 == 7 ? 0 : 1);
+    }
+    if (draw.kind < 44)
+        return absl::StrCat("cancel ", id, " at=", node);
+    if (draw.kind < 48)
+        return absl::StrCat("fetch ", id, " at=", node, " wait=", draw.c * 20);
+    if (draw.kind < 60)
+        return absl::StrCat("run ", 1 + draw.c * draw.b % 3000);
+    if (draw.kind < 68)
+        return absl::StrCat("backend ", backend, " ", modes[draw.c % modes.size()], " factor=", 1 + draw.a % 4);
+    if (draw.kind < 70)
+        return absl::StrCat("rack r0 ", modes[draw.c % modes.size()]);
+    if (draw.kind < 72)
+        return absl::StrCat("backend ", backend, draw.c % 3 == 0 ? " staying" : " leaving");
+    if (draw.kind < 76)
+        return absl::StrCat(draw.c % 3 == 0 ? "crash " : "restart ", node);
+    if (draw.kind < 80)
+        return absl::StrCat(draw.c % 2 == 0 ? "freeze " : "thaw ", node);
+    if (draw.kind < 82)
+        return absl::StrCat("drain ", node);
+    if (draw.kind < 85)
+        return absl::StrCat("clock ", node, " ", (draw.c - 50) * 200);
+    if (draw.kind < 89 && node != other)
+        return absl::StrCat(draw.c % 2 == 0 ? "cut " : "heal ", node, " ", other);
+    if (draw.kind < 91)
+        return absl::StrCat(draw.c % 2 == 0 ? "cut " : "heal ", node, " platform");
+    if (draw.kind < 93)
+        return absl::StrCat(draw.c % 2 == 0 ? "cut " : "heal ", node, " ", backend);
+    if (draw.kind < 96) {
+        constexpr std::array logs{"log up", "log down", "log slow", "log lose 2"};
+        return logs[draw.c % logs.size()];
+    }
+    const std::string base = draw.c % 4 == 3 ? " base=1" : "";
+    return absl::StrCat("publish template/", draw.b % 2 == 0 ? "once" : "again",
+                        " repeat=", draw.b % 2 == 0 ? "never" : "allowed", " deadline_ms=", 4000 + draw.c * 10, base);
+}
+
+rc::Gen<Draw> genDraw()
+{
+    return rc::gen::build<Draw>(rc::gen::set(&Draw::kind, rc::gen::noShrink(rc::gen::inRange(0, 100))),
+                                rc::gen::set(&Draw::a, rc::gen::inRange(0, 100)),
+                                rc::gen::set(&Draw::b, rc::gen::inRange(0, 100)),
+                                rc::gen::set(&Draw::c, rc::gen::inRange(0, 100)));
+}
+
+void showValue(const Draw &, std::ostream &) {} // the script is logged instead
+
+struct Totals
+{
+    std::size_t cases = 0;
+    std::size_t steps = 0;
+    std::size_t answers = 0;
+    std::size_t completed = 0;
+};
+
+bool runFuzzer(Totals &totals)
+{
+    return rc::check("all guarantees hold under random faults", [&totals] {
+        const auto seed = *rc::gen::noShrink(rc::gen::inRange(1, 1000000));
+        const auto nodes = *rc::gen::inRange(1, 4);
+        const auto backends = *rc::gen::inRange(1, 6);
+        const auto draws = *rc::gen::container<std::vector<Draw>>(genDraw());
+        std::string script =
+                absl::StrCat("world seed=", seed, " nodes=", nodes, " zones=", 1 + seed % 3, " backends=", backends,
+                             " slots=", 1 + seed % 4, "\nrun ", seed % 5 == 0 ? 0 : 1500, "\n");
+        for (const Draw &draw : draws)
+            absl::StrAppend(&script, toLine(draw, nodes, backends), "\n", "run ", draw.c * draw.c % 311, "\n");
+        absl::StrAppend(&script, "settle ", settleMs, "\n");
+        if (std::getenv("FUZZ_SHOW") != nullptr)
+            std::cerr << "----\n" << script << std::flush;
+        Player player;
+        const auto steps = parseSteps("script", script);
+        RC_ASSERT(steps.has_value());
+        for (const Step &step : *steps) {
+            const std::string error = player.play(step);
+            RC_ASSERT(error == std::string());
+            if (!player.oracle().violations().empty())
+                break;
+        }
+        ++totals.cases;
+        totals.steps += steps->size();
+        totals.answers += player.oracle().answered();
+        totals.completed += player.oracle().completed();
+        if (!player.oracle().violations().empty())
+            RC_FAIL(player.oracle().violations().front() + "\n" + script);
+    });
+}
+
+} // namespace
+
+} // namespace clementinelift::fuzz
+
+int main()
+{
+    clementinelift::fuzz::Totals totals;
+    const bool isPassed = clementinelift::fuzz::runFuzzer(totals);
+    std::cout << "cases=" << totals.cases << " steps=" << totals.steps << " answers=" << totals.answers
+              << " complete=" << totals.completed << "\n";
+    return isPassed ? 0 : 1;
+}
--- /dev/null
+++ b/tests/fuzz/world.h
@@ -0,0 +1,217 @@
+// One to three cores with small fakes of everything around them, in virtual time and from one seed.
+//
+// Contents
+//   WorldOptions   size of the fleet and of the times in the settings
+//   Variant        deliberate breaks, one for each guarantee, that the oracle has to find
+//   World          cores, links, log service, VM list, backend servers, callers and operators
+#pragma once
+
+#include "core/dispatcher.h"
+#include "fuzz/oracle.h"
+
+#include <deque>
+#include <functional>
+#include <random>
+
+namespace clementinelift::fuzz {
+
+// WorldOptions --------------------------------------------------------------------------------------
+
+struct WorldOptions
+{
+    std::uint64_t seed = 1;
+    std::size_t nodes = 3;
+    std::size_t zones = 3;
+    std::size_t backends = 6;
+    std::uint32_t slots = 2;
+    std::int64_t retentionMs = 25000;
+    std::int64_t listLagMs = 300;
+    std::uint32_t queue = 200;
+};
+
+// Variant -------------------------------------------------------------------------------------------
+
+enum class Variant : std::uint8_t {
+    None,
+    SameIncarnation,   // G1: a restarted process takes its old incarnation up again, without its memory
+    PartialAnswer,     // G2: a failed job is answered as complete with the results so far
+    MixedAnswers,      // G3: an answer is delivered to the caller that asked next
+    StrongRefusal,     // G4: attempt_not_run is passed on as not_run
+    UnknownNotStarted, // G5: a lost connection is reported as not started
+    LeavingIgnored,    // G6: nobody reads that a backend server is leaving
+    HardStop,          // G7: a planned stop ends the process at once
+    SkippedRecord,     // G8: one entry VM skips every third configuration record
+};
+
+std::optional<Variant> parseVariant(std::string_view name);
+
+// World ---------------------------------------------------------------------------------------------
+
+enum class BackendMode : std::uint8_t {
+    Ok,
+    Failing, // everything it starts fails at once
+    Stalled, // tasks end only by their lease
+    Busy,    // refuses everything as busy
+    Mute,    // runs the task, but the connection breaks before the answer
+    Late,    // the connection breaks first, the task starts afterwards
+    Crashed,
+};
+
+enum class LogMode : std::uint8_t { Up, Down, Slow };
+
+struct Submission
+{
+    std::string id;
+    std::size_t node = 0;
+    std::string templateName = "once";
+    std::uint32_t tasks = 1;
+    std::uint32_t runMs = 50;
+    std::int64_t deadlineMs = 3000;
+    std::int64_t issuedMs = 0; // relative to now, of the first submission with this id
+    std::uint32_t body = 0;
+    bool wait = true;
+};
+
+class World
+{
+public:
+    explicit World(const WorldOptions &options, Variant variant = Variant::None);
+    ~World();
+
+    void run(std::int64_t ms);
+    void settle(std::int64_t ms); // heals everything, runs, and checks what holds in calm times
+
+    // Callers and operators.
+    void submit(const Submission &submission);
+    void cancel(const std::string &id, std::size_t node);
+    void fetch(const std::string &id, std::size_t node, std::int64_t waitMs);
+    void publish(const std::string &entry, const std::string &text, std::optional<std::int64_t> base);
+
+    // Faults.
+    void crash(std::size_t node);
+    void restart(std::size_t node);
+    void setFrozen(std::size_t node, bool isFrozen);
+    void drain(std::size_t node);
+    void stepClock(std::size_t node, std::int64_t ms);
+    void cutNodes(std::size_t a, std::size_t b, bool isCut);
+    void cutPlatform(std::size_t node, bool isCut);
+    void cutBackend(std::size_t node, std::size_t backend, bool isCut);
+    void cutZone(std::size_t zone, bool isCut);
+    void setLog(LogMode mode) { m_logMode = mode; }
+    void loseAppends(int count) { m_appendsToLose = count; }
+    void setListUp(bool isUp) { m_isListUp = isUp; }
+    void setBackend(std::size_t backend, BackendMode mode, double factor);
+    void setLeaving(std::size_t backend, bool isLeaving);
+    void removeBackend(std::size_t backend);
+
+    // State, for expectations.
+    const Oracle &oracle() const { return m_oracle; }
+    const core::Dispatcher *core(std::size_t node) const { return m_nodes[node].core.get(); }
+    bool isUp(std::size_t node) const { return m_nodes[node].core != nullptr; }
+    std::size_t nodeCount() const { return m_nodes.size(); }
+    std::size_t backendCount() const { return m_backends.size(); }
+    std::size_t zoneCount() const { return m_options.zones; }
+    bool isConfigAgreed() const; // every entry VM that is up has the state of the whole log
+    std::int64_t version(const std::string &entry) const;
+    std::uint64_t received(std::size_t backend) const { return m_backends[backend].received; }
+
+private:
+    struct Node
+    {
+        core::CoreSettings settings;
+        std::unique_ptr<core::Dispatcher> core; // null: down
+        std::uint64_t process = 0;              // raised with each start
+        bool isFrozen = false;
+        std::int64_t wallOffsetMs = 0;
+        std::deque<core::Event> held; // while frozen
+        std::set<std::size_t> wanted; // links that the core asked for
+        std::array<std::int64_t, 2> logNext{};
+        std::array<bool, 2> isCaughtUp{};
+        std::uint64_t timer = 0;                     // generation of the last SetTimer
+        std::map<std::string, std::size_t> attempts; // sent and not ended -> backend server
+        bool isPlatformCut = false;
+        std::set<std::size_t> cutBackends;
+        std::uint64_t skipped = 0; // of Variant::SkippedRecord
+    };
+    struct Link
+    {
+        bool isUp = false;
+        bool isCut = false;
+        std::uint64_t epoch = 0;
+        std::int64_t upSinceUs = 0;
+        std::array<std::int64_t, 2> lastUs{}; // last delivery in each direction
+    };
+    struct Running
+    {
+        std::string payload;
+        std::size_t node = 0;
+        std::uint64_t process = 0;
+    };
+    struct Backend
+    {
+        core::BackendInfo info;
+        BackendMode mode = BackendMode::Ok;
+        double factor = 1;
+        bool isGone = false;
+        std::uint64_t received = 0;
+        std::map<std::string, Running> running;
+        std::map<std::string, core::AttemptStatus> ended;
+    };
+    struct StreamLog
+    {
+        std::vector<core::LogRecord> records; // from first on
+        std::int64_t first = 0;
+        std::int64_t end() const { return first + static_cast<std::int64_t>(records.size()); }
+    };
+
+    std::int64_t wallMs() const;
+    std::int64_t between(std::int64_t lowUs, std::int64_t highUs);
+    void at(std::int64_t delayUs, std::function<void()> what);
+    void tick(); // links, log readers, VM list
+    void start(std::size_t node);
+    void deliver(std::size_t node, std::uint64_t process, core::Event event);
+    void handle(std::size_t node, core::Event event);
+    void answer(const core::AnswerCaller &action);
+    void carryOut(std::size_t node, core::Action &action);
+    void send(std::size_t node, core::SendPeer &action);
+    void append(std::size_t node, const core::AppendLog &action);
+    void addRecord(core::Stream stream, core::LogBody body);
+    void startAttempt(std::size_t node, const core::StartAttempt &action);
+    void execute(std::size_t backend, const core::StartAttempt &action, Running running);
+    void finish(std::size_t backend, const core::AttemptId &attempt, core::AttemptState state, bool isAnswered);
+    void endAttempt(const Running &running, const core::AttemptId &attempt, core::AttemptOutcome outcome,
+                    const std::string &result, std::int64_t delayUs);
+    void readLog(std::size_t node, core::Stream stream);
+    void readList(std::size_t node);
+    void dropOldRecords();
+    void updateLink(std::size_t a, std::size_t b);
+    void setLinkUp(std::size_t a, std::size_t b, bool isUp);
+    void stop(std::size_t node);
+    Link &link(std::size_t a, std::size_t b) { return m_links[std::min(a, b) * m_nodes.size() + std::max(a, b)]; }
+    std::optional<std::size_t> findBackend(const std::string &address) const;
+    core::Key keyOf(const std::string &id, std::int64_t issuedMs);
+
+    WorldOptions m_options;
+    Variant m_variant;
+    std::mt19937_64 m_random;
+    Oracle m_oracle;
+    std::int64_t m_us = 0;
+    std::uint64_t m_sequence = 0;
+    std::map<std::pair<std::int64_t, std::uint64_t>, std::function<void()>> m_queue;
+    std::vector<Node> m_nodes;
+    std::vector<Link> m_links;
+    std::vector<Backend> m_backends;
+    std::array<StreamLog, 2> m_log;
+    core::Configuration m_reference; // fold of the whole configuration stream
+    LogMode m_logMode = LogMode::Up;
+    int m_appendsToLose = 0;
+    bool m_isListUp = true;
+    std::deque<std::pair<std::int64_t, core::VmListRead>> m_lists; // ascending by time
+    std::map<std::string, core::Key> m_keys;                       // by submission id
+    std::uint64_t m_nextCaller = 1;
+    std::uint64_t m_nextChange = 1;
+    std::uint64_t m_nextProcess = 1;
+    std::optional<core::AnswerCaller> m_heldAnswer; // of Variant::MixedAnswers
+};
+
+} // namespace clementinelift::fuzz
