--- a/packages/core/basic_scheduler_impl.h
+++ b/packages/core/basic_scheduler_impl.h
@@ -367,6 +367,13 @@
     return closeJob(job, Reason::None);
 }
 
+template <SlotPolicy P> void BasicScheduler<P>::noteStopped(TaskRef ref)
+{
+    const auto found = m_jobs.find(ref.job);
+    assert(found != m_jobs.end() && found->second.tasks[ref.index].phase == TaskPhase::Running);
+    found->second.tasks[ref.index].stopped = true;
+}
+
 // Ends of attempts ----------------------------------------------------------------------------------
 
 template <SlotPolicy P>
@@ -408,12 +415,16 @@
     assert(task.phase == TaskPhase::Running);
     const BackendId backend = task.backend;
     const double measuredUs = serviceUs > 0 ? serviceUs : static_cast<double>(now.monoUs - task.startUs);
-    learn(shapeOf(job, task), backend, outcome, measuredUs, task.startUs, now.monoUs);
+    // The end of a stopped attempt is no evidence, as little as Busy is.
+    const AttemptOutcome evidence = task.stopped && outcome == AttemptOutcome::Failed ? AttemptOutcome::Busy : outcome;
+    learn(shapeOf(job, task), backend, evidence, measuredUs, task.startUs, now.monoUs);
+    task.stopped = false;
     const bool borrowed = task.request != 0;
     if (borrowed) {
         const auto request = m_requests.find(task.request);
         if (request != m_requests.end()) {
-            send(request->second.node, SlotReturn{task.request, true, outcome, static_cast<std::uint32_t>(measuredUs)});
+            send(request->second.node,
+                 SlotReturn{task.request, true, evidence, static_cast<std::uint32_t>(measuredUs)});
             m_requests.erase(request);
         }
         task.request = 0;
@@ -604,7 +615,6 @@
     const double ownUs = own ? m_model.expectedPerSuccessUs(shape, *own) : never;
     const auto faster = m_pool.fasterThan(own ? m_pool[*own].bucket : factorBuckets);
     const double gapUs = faster.rate > 0 ? m_model.meanBaseUs() / faster.rate : never;
-    const double waitUs = gapUs + base * faster.meanFactor;
 
     const double weight = std::clamp(organisation(job).parameters.responseWeight, 0.0, 1.0);
     const double costUs = weight > 0 ? std::min(detail::maxBorrowCostUs, detail::borrowCostUs * (1 - weight) / weight)
@@ -618,7 +628,7 @@
             return Step::Again;
         }
     }
-    if (own && ownUs <= waitUs) {
+    if (own) {
         startNext(place, *own, now, decisions);
         return Step::Again;
     }
@@ -627,21 +637,6 @@
         skipped.push_back(place);
         return Step::Again;
     }
-    if (!own)
-        return Step::Wait;
-    // The slow slot serves the task that would otherwise wait longest.
-    const auto last = m_queue.last();
-    if (last && mayStart(*last, now) && !dropHopeless(*last, now)) {
-        const auto &lastJob = m_jobs.at(last->job);
-        const TaskShape lastShape = shapeOf(lastJob, lastJob.tasks[lastJob.queued.back()]);
-        const double lastBase = m_model.baseUs(lastShape);
-        if (fits(lastShape, m_pool[*own].info)
-            && m_model.expectedPerSuccessUs(lastShape, *own) <= gapUs * m_readyTasks + lastBase * faster.meanFactor) {
-            startNext(*last, *own, now, decisions);
-            return Step::Again;
-        }
-    }
-    m_recheckUs = now.monoUs + detail::recheckUs;
     return Step::Wait;
 }
 
