Wait for the link of a restarted owner, and read config records again when a read got lost

A link to another incarnation of the owner's VM counted as proof that the owner had ended, also when the owner was the newer one; its keys were refused with owner_gone until the link was renewed. Only incarnations that were seen to be replaced count at once now, others after the forward timeout.

--- a/packages/core/dispatcher_forwards.cpp
+++ b/packages/core/dispatcher_forwards.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::int64_t answerMarginUs = 200 * usPerMs; // the owner answers at the deadline, then the network
+constexpr std::size_t maxReplaced = 4096;              // owners whose keys are within the horizon are far fewer
 constexpr std::uint32_t maxBackoffShift = 4;           // a forward is sent again after 1, 2, 4, 8, 16 times the timeout
 
 } // namespace
@@ -31,10 +32,7 @@
 // True when the owner has certainly ended: its VM runs a newer incarnation.
 bool Dispatcher::State::isReplaced(const Forward &forward) const
 {
-    if (forward.ownerNode == settings.self.name)
-        return true;
-    const auto link = links.find(forward.ownerNode);
-    return link != links.end() && link->second.incarnation != forward.owner && raw(link->second.incarnation) != 0;
+    return forward.ownerNode == settings.self.name || replaced.contains(forward.owner);
 }
 
 // Sends, waits, runs the job here or gives up, whatever is due.
@@ -46,10 +44,14 @@
     Forward &forward = found->second;
     const std::int64_t nowUs = step.now.monoUs;
     const bool submits = forward.kind == SubmitKind::Submit;
-    const bool replaced = isReplaced(forward);
-    const bool gone = replaced || membership.isDead(forward.owner);
     const auto link = links.find(forward.ownerNode);
-    const bool connected = !replaced && link != links.end() && link->second.up;
+    const bool linked = link != links.end() && link->second.up;
+    const bool connected = linked && link->second.incarnation == forward.owner;
+    // The link to another incarnation of the VM may be older than the owner, but then it breaks soon.
+    const bool isOther = linked && !connected && forward.unreachableSinceUs >= 0
+            && nowUs >= forward.unreachableSinceUs + settings.forwardTimeoutMs * usPerMs;
+    const bool replaced = isReplaced(forward) || isOther;
+    const bool gone = replaced || membership.isDead(forward.owner);
 
     if (nowUs >= forward.answerByUs || (gone && !connected && (replaced || !forward.handedToLink || !submits))) {
         if (mayRunHere(forward, step.now))
@@ -88,7 +90,8 @@
         armForward(requestId, forward, std::min(runAtUs, forward.answerByUs));
         return;
     }
-    armForward(requestId, forward, forward.answerByUs);
+    const std::int64_t otherAtUs = forward.unreachableSinceUs + settings.forwardTimeoutMs * usPerMs;
+    armForward(requestId, forward, nowUs < otherAtUs ? std::min(otherAtUs, forward.answerByUs) : forward.answerByUs);
 }
 
 void Dispatcher::State::reviewAllForwards(Step &step)
@@ -228,8 +231,15 @@
 void Dispatcher::State::noteLink(std::string_view node, Incarnation incarnation)
 {
     Link &link = links[std::string(node)];
-    if (link.incarnation != incarnation)
+    if (link.incarnation != incarnation && raw(link.incarnation) != 0) {
         nodeNames.erase(link.incarnation);
+        replaced.insert(link.incarnation);
+        replacedOrder.push_back(link.incarnation);
+        if (replacedOrder.size() > maxReplaced) {
+            replaced.erase(replacedOrder.front());
+            replacedOrder.pop_front();
+        }
+    }
     nodeNames[incarnation] = std::string(node);
     link.incarnation = incarnation;
     link.up = true;
--- a/packages/core/dispatcher_state.h
+++ b/packages/core/dispatcher_state.h
@@ -281,8 +281,10 @@
     std::uint64_t nextWaiter = 1;
 
     // Other entry VMs.
-    std::map<std::string, detail::Link, std::less<>> links;       // by node name
-    absl::flat_hash_map<Incarnation, std::string> nodeNames;      // of the incarnations in links
+    std::map<std::string, detail::Link, std::less<>> links;  // by node name
+    absl::flat_hash_map<Incarnation, std::string> nodeNames; // of the incarnations in links
+    absl::flat_hash_set<Incarnation> replaced;               // ended, their VM runs a newer one; bounded
+    std::deque<Incarnation> replacedOrder;
     absl::flat_hash_map<std::uint64_t, detail::Forward> forwards; // by request id
     std::uint64_t nextRequest = 0;
     std::uint64_t nextEpoch = 1;
--- a/packages/core/dispatcher_streams.cpp
+++ b/packages/core/dispatcher_streams.cpp
@@ -110,8 +110,10 @@
         jumped = applyConfig(step, record) || jumped;
     if (jumped && config.nextOffset() < read.nextOffset)
         step.act(SeekLog{Stream::Config, config.nextOffset()}); // records below the snapshot record were passed over
+    else if (config.nextOffset() < read.nextOffset && read.firstAvailable <= config.nextOffset())
+        step.act(SeekLog{Stream::Config, config.nextOffset()}); // a read got lost
     if (config.nextOffset() < read.nextOffset)
-        return; // a gap: a snapshot follows in the stream, or peers help
+        return; // records were dropped: a snapshot follows in the stream, or peers help
     configDown = configDown && !read.caughtUp;
     if (read.caughtUp && !config.isKnown() && (before > 0 || read.firstAvailable == 0)) {
         config.markKnown();
--- a/packages/core/dispatcher_submissions.cpp
+++ b/packages/core/dispatcher_submissions.cpp
@@ -226,7 +226,9 @@
                                Reason reason)
 {
     ++counters.refusals[static_cast<std::size_t>(reason)];
-    if (raw(requester.node) != 0) {
+    // Reused and old keys are refused again without being remembered.
+    const bool staysRefused = reason == Reason::KeyReused || reason == Reason::KeyTooOld;
+    if (raw(requester.node) != 0 && !staysRefused) {
         const std::int64_t untilUs = step.now.monoUs + deadlineMsOf(request) * usPerMs + refusalMarginUs;
         refusals.add({requester.node, requester.requestId}, {statement, reason}, untilUs);
     }
--- a/tests/unit/core/dispatcher_race_test.cpp
+++ b/tests/unit/core/dispatcher_race_test.cpp
@@ -435,3 +435,26 @@
     cluster.advance(1000);
     CHECK(cluster.starts.size() == 1);
 }
+
+// Guards against refusing keys of a restarted owner because the link to its predecessor is still up.
+TEST_CASE("a forward to a new incarnation waits for its link")
+{
+    Cluster cluster(2);
+    const NodeInfo old = cluster.nodeInfo(1);
+    const std::int64_t fromMs = cluster.now(0).wallMs + 100000;
+    GrantRecord grant{.node = old.name, .address = old.address, .incarnation = Incarnation(77), .partitions = {}};
+    grant.partitions.set();
+    grant.fromMs = fromMs;
+    grant.toMs = fromMs + 10000;
+    cluster.append(Stream::Ownership, grant);
+    cluster.advance(20);
+    cluster.holdMessages = true;
+    const CallerId caller = cluster.submit(0, makeKey(fromMs + 1, 1, 1), "once");
+    cluster.advance(500);
+    CHECK(cluster.answerCount(caller) == 0);
+    CHECK(cluster.heldCount<SubmitForward>() == 0);
+    NodeInfo restarted = old;
+    restarted.incarnation = Incarnation(77);
+    cluster.handle(0, PeerConnected{restarted});
+    CHECK(cluster.heldCount<SubmitForward>() == 1);
+}
