Hold slot requests of waiting tasks at peers for some ms

Cause: at high load a task waits at one entry VM while a slot becomes free at another a moment later. Change: a request for any slot is held by a peer without a free one and granted when its own queue leaves a slot free; the grant serves whichever task is next in order.

--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -262,6 +262,9 @@
             m_nowUs = event.atUs;
             handle(event);
         }
+        // Requests that were held until they expired have neither a grant nor a refusal.
+        m_result.wasted += m_openRequests;
+        m_result.wastedByKind["expired request"] += m_openRequests;
         return std::move(m_result);
     }
 
@@ -614,6 +617,11 @@
             else
                 m_result.borrowed += measured() ? 1 : 0;
         }
+        if (std::holds_alternative<SlotRequest>(message.message) && measured())
+            ++m_openRequests;
+        if ((std::holds_alternative<SlotRefuse>(message.message) || std::holds_alternative<SlotGrant>(message.message))
+            && measured() && m_openRequests > 0)
+            --m_openRequests;
         m_messages.push_back(Message{from, to, std::move(message.message)});
         push(m_nowUs + latency(m_work.nodes[from].zone, m_work.nodes[to].zone), Kind::Message,
              static_cast<std::uint32_t>(m_messages.size() - 1));
@@ -653,6 +661,7 @@
     std::uint64_t m_sequence = 0;
     std::int64_t m_nowUs = 0;
     Decisions m_decisions;
+    std::uint64_t m_openRequests = 0; // slot requests without an answer
     Result m_result;
     std::mt19937_64 m_random;
 };
--- a/packages/core/basic_scheduler.h
+++ b/packages/core/basic_scheduler.h
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <deque>
 #include <map>
 
 namespace clementinelift::core {
@@ -33,12 +34,14 @@
 constexpr double priceStep = 0.05;      // of the logarithm for each message above the target
 constexpr double minLogPrice = 6;       // 0.4 ms
 constexpr double maxLogPrice = 16;      // 9 s
+constexpr std::uint32_t maxHeldRequests = 6;
+constexpr std::int64_t heldTimeoutUs = 12 * usPerMs; // for which a peer holds a request for any slot
+constexpr double noSlotGapUs = 100.0 * usPerMs;      // gain by one slot where no own one works
 constexpr double maxPriceScale = 50;
 constexpr double minPriceScale = 0.1;
 constexpr std::int64_t relaxEveryUs = 500 * usPerMs;
 constexpr std::int64_t busyBlockUs = 30 * usPerMs;
-constexpr std::int64_t recheckUs = 20 * usPerMs; // while a task waits for a faster slot
-constexpr double borrowCostUs = 5.0 * usPerMs;   // price of the messages of a borrow at response weight 0.5
+constexpr double borrowCostUs = 5.0 * usPerMs; // price of the messages of a borrow at response weight 0.5
 constexpr double hopelessShare = 0.25;   // of the expected time: less than this left means that the task cannot finish
 constexpr double certainWaitShare = 0.7; // of the expected wait counts at admission
 constexpr double poisonRate = 0.6;       // of failed attempts of a template: failures say nothing about backend servers
@@ -133,6 +136,10 @@
     void startNext(const FairQueue::Place &place, BackendId backend, Now now, Decisions &decisions);
     void start(TaskRef ref, BackendId backend, std::uint64_t request, Now now, Decisions &decisions);
     std::optional<Offer> bestOffer(const TaskShape &shape, double aloneUs, double weight, Now now) const;
+    void askForSlots(const TaskShape &shape, double weight, Now now);
+    void endHeld(const OpenRequest &request, bool granted);
+    void lend(const LoanKey &key, const TaskShape &shape, BackendId backend, Now now);
+    void serveHeld(Now now);
     void countSlotMessages(double sent, double wasted);
     void requestSlot(const FairQueue::Place &place, const Offer &offer, double maxUs, Now now);
     void returnUnused(std::uint64_t request, const std::string &node);
@@ -166,6 +173,8 @@
     absl::flat_hash_map<std::uint64_t, OpenRequest> m_requests;
     absl::btree_map<LoanKey, SlotLoan> m_loans;
     std::vector<std::pair<std::string, SlotGrant>> m_grants; // to be used by the next decide()
+    std::deque<HeldRequest> m_held;                          // of peers
+    std::uint32_t m_heldRequests = 0;                        // own ones in progress
     std::uint64_t m_nextRequest = 1;
     std::size_t m_reportRound = 0;
     double m_logOffer = 0;  // log of the smoothed factor of the fastest free slot
@@ -175,7 +184,6 @@
     std::uint64_t m_nextAlarm = 0;
     std::int64_t m_nextReportUs = 0;
     std::int64_t m_nextRelaxUs = 0;
-    std::int64_t m_recheckUs = INT64_MAX;
     bool m_dirty = true; // something has changed since the last round of starts
 
     std::vector<SlotMessageDecision> m_outbox;
--- a/packages/core/basic_scheduler_impl.h
+++ b/packages/core/basic_scheduler_impl.h
@@ -485,6 +485,7 @@
 {
     tick(now);
     startQueued(now, decisions);
+    serveHeld(now);
     trackOffer();
     const auto append = [](auto &target, auto &source) {
         std::move(source.begin(), source.end(), std::back_inserter(target));
@@ -519,6 +520,9 @@
     grants.swap(m_grants);
     for (const auto &[node, grant] : grants) {
         auto &request = m_requests.at(grant.requestId);
+        const bool isWaitedFor = request.wanted || m_readyTasks > 0;
+        endHeld(request, isWaitedFor);
+        request.held = false;
         const auto backend = m_pool.find(grant.backend);
         const bool usable = backend && !m_pool[*backend].gone && !m_pool[*backend].leaving
                 && m_pool[*backend].attempts < m_pool[*backend].connections;
@@ -548,10 +552,9 @@
         returnUnused(grant.requestId, node);
     }
 
-    if (!m_dirty && now.monoUs < m_recheckUs)
+    if (!m_dirty)
         return;
     m_dirty = false;
-    m_recheckUs = INT64_MAX;
     std::vector<FairQueue::Place> skipped;
     while (placeNext(now, decisions, skipped) == Step::Again)
         ;
@@ -608,21 +611,16 @@
                                                                  Decisions &decisions,
                                                                  std::vector<FairQueue::Place> &skipped)
 {
-    constexpr double never = 1e18;
     const auto &job = m_jobs.at(place.job);
     const TaskShape shape = shapeOf(job, job.tasks[job.queued.back()]);
-    const double base = m_model.baseUs(shape);
     const auto own = m_policy.choose(m_pool, m_model, shape, m_random);
-    const double ownUs = own ? m_model.expectedPerSuccessUs(shape, *own) : never;
-    const auto faster = m_pool.fasterThan(own ? m_pool[*own].bucket : factorBuckets);
-    const double gapUs = faster.rate > 0 ? m_model.meanBaseUs() / faster.rate : never;
-
+    const double ownUs = own ? m_model.expectedPerSuccessUs(shape, *own) : 0;
     const double weight = std::clamp(organisation(job).parameters.responseWeight, 0.0, 1.0);
-    // A borrowed slot also helps all tasks behind this one, so the whole queue counts when no own slot is free.
-    const double aloneUs = own ? ownUs : std::min(never, gapUs * m_readyTasks + base * faster.meanFactor);
-    if (const auto offer = bestOffer(shape, aloneUs, weight, now)) {
-        requestSlot(place, *offer, std::min(aloneUs, never / 2), now);
-        return Step::Again;
+    if (own) {
+        if (const auto offer = bestOffer(shape, ownUs, weight, now)) {
+            requestSlot(place, *offer, ownUs, now);
+            return Step::Again;
+        }
     }
     if (own) {
         startNext(place, *own, now, decisions);
@@ -633,6 +631,7 @@
         skipped.push_back(place);
         return Step::Again;
     }
+    askForSlots(shape, weight, now);
     return Step::Wait;
 }
 
@@ -749,6 +748,48 @@
     setAlarm(now.monoUs + detail::requestTimeoutUs, AlarmKind::RequestTimeout, {}, id);
 }
 
+// No own slot is free: asks peers for any slot, for whichever task is then next in order. A peer without a free slot
+// holds the request for some ms. The gain is the wait of the last task in the queue, as each slot shortens the whole
+// queue.
+template <SlotPolicy P> void BasicScheduler<P>::askForSlots(const TaskShape &shape, double weight, Now now)
+{
+    if (m_heldRequests >= std::min(m_readyTasks, detail::maxHeldRequests))
+        return;
+    const double gapUs = m_pool.totalRate() > 0 ? m_model.meanBaseUs() / m_pool.totalRate() : detail::noSlotGapUs;
+    const double priceScale =
+            std::clamp((1 - weight) / std::max(weight, 1e-3), detail::minPriceScale, detail::maxPriceScale);
+    const double refusalUs = std::exp(m_logPrice) * priceScale;
+    for (auto &[name, peer] : m_peers) {
+        const double gainUs = gapUs * (m_readyTasks - m_heldRequests) - static_cast<double>(peer.roundTripUs)
+                - detail::borrowCostUs * priceScale;
+        const double worth = peer.grantedHeld * gainUs - (1 - peer.grantedHeld) * refusalUs;
+        if (worth <= 0 || peer.held > 0 || now.monoUs - peer.reportUs > detail::reportStaleUs)
+            continue;
+        const std::uint64_t id = m_nextRequest++;
+        m_requests[id] = OpenRequest{.node = name, .held = true, .wanted = false};
+        ++peer.held;
+        ++m_counters.slotRequests;
+        countSlotMessages(1, 0);
+        send(name,
+             SlotRequest{id, std::string(m_configuration.name(shape.templateId)), shape.cores, shape.memoryMb, 0});
+        setAlarm(now.monoUs + detail::heldTimeoutUs + peer.roundTripUs, AlarmKind::RequestTimeout, {}, id);
+        if (++m_heldRequests >= std::min(m_readyTasks, detail::maxHeldRequests))
+            return;
+    }
+}
+
+// Forgets a request; granted says how the peer answered, if it was one that may be held.
+template <SlotPolicy P> void BasicScheduler<P>::endHeld(const OpenRequest &request, bool granted)
+{
+    if (!request.held)
+        return;
+    --m_heldRequests;
+    if (const auto peer = m_peers.find(request.node); peer != m_peers.end()) {
+        --peer->second.held;
+        peer->second.grantedHeld += detail::grantedRate * ((granted ? 1 : 0) - peer->second.grantedHeld);
+    }
+}
+
 // The task of the request goes back to the queue, if it still waits for the answer.
 template <SlotPolicy P> void BasicScheduler<P>::requeue(std::uint64_t id, Now)
 {
@@ -784,21 +825,45 @@
         const auto chosen = P::usesHeldSlots ? m_policy.choose(m_pool, m_model, shape, m_random) : std::nullopt;
         if (chosen
             && (message.maxServiceUs == 0 || m_model.expectedPerSuccessUs(shape, *chosen) <= message.maxServiceUs)) {
-            const std::int64_t leaseMs = m_templates[raw(*templateId)].deadlineMs + detail::loanMarginMs;
-            const std::int64_t endsUs = now.monoUs + leaseMs * usPerMs;
-            m_loans[key] = SlotLoan{*chosen, shape, now.monoUs, endsUs};
-            m_breakers.onStart(*chosen, now.monoUs);
-            updateBackend(*chosen, now.monoUs, [](BackendSlots &slots) { ++slots.lent; });
-            refreshChanged(now.monoUs);
-            setAlarm(endsUs, AlarmKind::LoanEnd, {}, message.requestId, key.first);
-            ++m_counters.slotsLent;
-            send(node, SlotGrant{message.requestId, m_pool[*chosen].info.name, leaseMs});
+            lend(key, shape, *chosen, now);
+            return;
+        }
+        if (!chosen && message.maxServiceUs == 0 && P::usesHeldSlots) {
+            m_held.push_back({key.first, message.requestId, shape, now.monoUs + detail::heldTimeoutUs});
             return;
         }
     }
     send(node, SlotRefuse{message.requestId});
 }
 
+template <SlotPolicy P>
+void BasicScheduler<P>::lend(const LoanKey &key, const TaskShape &shape, BackendId backend, Now now)
+{
+    const std::int64_t leaseMs = m_templates[raw(shape.templateId)].deadlineMs + detail::loanMarginMs;
+    const std::int64_t endsUs = now.monoUs + leaseMs * usPerMs;
+    m_loans[key] = SlotLoan{backend, shape, now.monoUs, endsUs};
+    m_breakers.onStart(backend, now.monoUs);
+    updateBackend(backend, now.monoUs, [](BackendSlots &slots) { ++slots.lent; });
+    refreshChanged(now.monoUs);
+    setAlarm(endsUs, AlarmKind::LoanEnd, {}, key.second, key.first);
+    ++m_counters.slotsLent;
+    send(key.first, SlotGrant{key.second, m_pool[backend].info.name, leaseMs});
+}
+
+// Lends slots that the own queue has left free to the requests that wait for any slot, oldest first.
+template <SlotPolicy P> void BasicScheduler<P>::serveHeld(Now now)
+{
+    while (!m_held.empty()) {
+        const HeldRequest request = m_held.front();
+        const auto chosen = m_policy.choose(m_pool, m_model, request.shape, m_random);
+        if (request.endsUs > now.monoUs && !chosen)
+            return;
+        m_held.pop_front();
+        if (request.endsUs > now.monoUs && m_peers.contains(request.node))
+            lend(LoanKey(request.node, request.id), request.shape, *chosen, now);
+    }
+}
+
 template <SlotPolicy P> void BasicScheduler<P>::onPeerMessage(std::string_view node, const SlotGrant &message, Now)
 {
     const auto request = m_requests.find(message.requestId);
@@ -809,7 +874,7 @@
     }
     if (const auto peer = m_peers.find(node); peer != m_peers.end()) {
         double &granted = peer->second.granted[request->second.range];
-        granted += detail::grantedRate * (1 - granted);
+        granted += request->second.held ? 0 : detail::grantedRate * (1 - granted);
     }
     m_grants.emplace_back(std::string(node), message);
     m_dirty = true;
@@ -824,8 +889,9 @@
     countSlotMessages(1, 2);
     if (const auto peer = m_peers.find(node); peer != m_peers.end()) {
         double &granted = peer->second.granted[request->second.range];
-        granted -= detail::grantedRate * granted;
+        granted -= request->second.held ? 0 : detail::grantedRate * granted;
     }
+    endHeld(request->second, false);
     requeue(message.requestId, now);
     m_requests.erase(message.requestId);
 }
@@ -874,6 +940,7 @@
     std::erase_if(m_grants, [&](const auto &grant) { return grant.first == node; });
     for (const std::uint64_t id : requests) {
         requeue(id, now);
+        endHeld(m_requests.at(id), false);
         m_requests.erase(id);
     }
     m_shares.forget(node);
@@ -925,6 +992,8 @@
     for (auto &[name, peer] : m_peers)
         for (double &granted : peer.granted)
             granted += detail::grantedForget * (0.5 - granted);
+    for (auto &[name, peer] : m_peers)
+        peer.grantedHeld += detail::grantedForget * (0.5 - peer.grantedHeld);
     updateShares(now);
 }
 
@@ -952,7 +1021,10 @@
                 peer->second.freeSlots = 0;
             std::erase_if(m_grants, [&](const auto &grant) { return grant.second.requestId == alarm.number; });
             requeue(alarm.number, now);
+            countSlotMessages(0, 1);
+            endHeld(request->second, false);
             m_requests.erase(alarm.number);
+            m_dirty = true;
         }
         break;
     case AlarmKind::LoanEnd:
@@ -1004,7 +1076,7 @@
 
 template <SlotPolicy P> std::int64_t BasicScheduler<P>::nextTimerUs() const
 {
-    std::int64_t next = std::min({m_nextReportUs, m_nextRelaxUs, m_breakers.nextTimerUs(), m_recheckUs});
+    std::int64_t next = std::min({m_nextReportUs, m_nextRelaxUs, m_breakers.nextTimerUs()});
     if (!m_alarms.empty())
         next = std::min(next, m_alarms.top().atUs);
     return next;
--- a/packages/core/slots.h
+++ b/packages/core/slots.h
@@ -69,6 +69,8 @@
     double bestFactor = 0;       // time per success over declared time, of the fastest free slot
     std::int64_t reportUs = -1;  // -1: none yet
     std::array<double, gainRanges> granted{0.5, 0.5, 0.5, 0.5, 0.5, 0.5}; // smoothed share of requests, by range
+    double grantedHeld = 0.5; // the same for requests that may be held, see HeldRequest
+    std::uint32_t held = 0;   // such requests in progress
 };
 
 // Loans ---------------------------------------------------------------------------------------------
@@ -81,12 +83,23 @@
     std::int64_t endsUs = 0;
 };
 
+// A request for any slot that could not be granted at once; the next free slot that the own queue does not need goes to
+// it.
+struct HeldRequest
+{
+    std::string node;
+    std::uint64_t id = 0;
+    TaskShape shape;
+    std::int64_t endsUs = 0; // the peer does not wait any longer
+};
+
 struct OpenRequest // sent to a peer
 {
     std::string node;
     TaskRef task;
     std::uint32_t range = 0; // of the gain
-    bool wanted = true;      // false: the task has gone, the grant may serve another one
+    bool held = false;       // for any slot and any waiting task
+    bool wanted = true;      // for its task; false: a grant may serve any waiting task
     bool granted = false;
 };
 
