--- /dev/null
+++ b/packages/dispatcher/daemon.cpp
@@ -0,0 +1,437 @@
+#include "dispatcher/daemon.h"
+
+#include "dispatcher/backend_client.h"
+#include "dispatcher/caller_api.h"
+#include "dispatcher/event_queue.h"
+#include "dispatcher/logging.h"
+#include "dispatcher/metrics.h"
+#include "dispatcher/status.h"
+#include "platform/log_client.h"
+#include "platform/vm_list_client.h"
+
+#include <atomic>
+#include <chrono>
+#include <ctime>
+#include <random>
+#include <thread>
+
+namespace clementinelift::dispatcher {
+
+namespace {
+
+using core::NoticeLevel;
+using net::HttpCall;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::int64_t deliveryWaitMs = 10000; // for answers on their way when the process stops
+constexpr auto housekeepingInterval = std::chrono::milliseconds(250);
+constexpr long platformConnections = 16; // two reads that wait, the VM list, appends
+
+// A request of an operator for the control thread.
+struct AdminCall
+{
+    HttpCall call{};
+    AdminRequest request{};
+};
+
+struct PeerTraffic
+{
+    std::string_view type;
+    std::size_t bytes = 0;
+};
+
+// What the control thread takes from its queue, with what it has to count.
+struct Arrival
+{
+    std::variant<core::Event, AdminCall> content;
+    PeerTraffic traffic;
+};
+
+core::Now readClocks()
+{
+    using std::chrono::duration_cast;
+    const auto mono = Clock::now().time_since_epoch();
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    return {duration_cast<std::chrono::microseconds>(mono).count(),
+            duration_cast<std::chrono::milliseconds>(wall).count()};
+}
+
+double readCpuSeconds(clockid_t clock)
+{
+    timespec time{};
+    clock_gettime(clock, &time);
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
+// A random incarnation and seed for this run of the process.
+core::CoreSettings prepareCore(core::CoreSettings settings)
+{
+    std::random_device device;
+    std::uniform_int_distribution<std::uint64_t> any(1);
+    settings.self.incarnation = core::Incarnation{any(device)};
+    settings.seed = any(device);
+    return settings;
+}
+
+net::HttpServerSettings makeServerSettings(const config::ProcessSettings &settings)
+{
+    return {settings.callerAddress, settings.maxBodyBytes, settings.maxHeaderBytes, settings.maxConnections,
+            settings.ioThreads};
+}
+
+net::PeerLinkSettings makeLinkSettings(const config::ProcessSettings &settings, const core::NodeInfo &self)
+{
+    net::PeerLinkSettings link;
+    link.self = {self.name, self.address, self.zone, raw(self.incarnation)};
+    link.listenAddress = settings.peerAddress;
+    link.secret = settings.peerSecret;
+    link.maxFrameBytes = settings.maxFrameBytes;
+    return link;
+}
+
+} // namespace
+
+struct Daemon::State
+{
+    explicit State(const config::ProcessSettings &given);
+
+    config::ProcessSettings settings;
+    core::CoreSettings coreSettings;
+    EventQueue<Arrival> queue;
+
+    // Owned by the control thread.
+    core::Dispatcher core;
+    core::Actions actions;
+    ProcessCounters counters;
+    std::int64_t timerUs = INT64_MAX;
+
+    // I/O, each with its own threads.
+    net::HttpClient platformHttp;
+    std::unique_ptr<platform::LogClient> log;
+    std::unique_ptr<platform::VmListClient> vmList;
+    BackendClient backends;
+    std::unique_ptr<net::PeerLinks> links;
+    std::unique_ptr<net::HttpServer> server;
+
+    std::atomic<std::uint64_t> badRequests = 0;
+    std::atomic<std::uint64_t> vmListFailures = 0;
+    std::atomic<std::uint64_t> peerUndecodable = 0;
+    std::atomic<bool> serverSet = false;
+    std::atomic<bool> drained = false;
+    std::atomic<bool> quit = false;
+    std::thread control;
+
+    // Any thread.
+    void post(core::Event &&event) { queue.push({std::move(event), {}}); }
+    void onRequest(HttpCall call, net::HttpRequest &&request);
+    void onPeerBytes(const net::PeerIdentity &peer, std::string_view bytes);
+    net::PeerLinkHandlers makeLinkHandlers();
+    platform::LogClientHandlers makeLogHandlers();
+    bool startLinks(std::string &error);
+    void startReading();
+
+    // Control thread.
+    void run();
+    void handle(Arrival &&arrival);
+    void handleEvent(core::Event &&event);
+    void observe(const core::Event &event);
+    void keepHouse();
+    void answerAdmin(const AdminCall &call);
+    void collectCounters();
+    void beginDrain();
+    void act(core::AnswerCaller &&action);
+    void act(core::AnswerKeys &&action);
+    void act(core::AnswerExplain &&action);
+    void act(core::StartAttempt &&action) { backends.start(std::move(action)); }
+    void act(core::StopAttempt &&action) { backends.stop(action); }
+    void act(core::QueryAttempt &&action) { backends.query(action); }
+    void act(core::ProbeBackend &&action) { backends.probe(action); }
+    void act(core::SendPeer &&action);
+    void act(core::ConnectPeer &&action) { links->connect(action.node.name, action.node.address); }
+    void act(core::DisconnectPeer &&action) { links->disconnect(std::move(action.node)); }
+    void act(core::AppendLog &&action) { log->append(action.append, action.stream, action.body); }
+    void act(core::SeekLog &&action) { log->follow(action.stream, action.offset); }
+    void act(core::SetTimer &&action) { timerUs = action.monoUs; }
+    void act(core::Notice &&action) { dispatcher::log(action.level, action.part, action.text); }
+    void act(core::DrainFinished &&action);
+};
+
+Daemon::State::State(const config::ProcessSettings &given)
+    : settings(given), coreSettings(prepareCore(given.core)), core(coreSettings),
+      platformHttp({.maxHostConnections = platformConnections, .maxAnswerBytes = 64u << 20}),
+      backends([this](core::Event &&event) { post(std::move(event)); })
+{}
+
+// I/O threads ---------------------------------------------------------------------------------------
+
+void Daemon::State::onRequest(HttpCall call, net::HttpRequest &&request)
+{
+    serverSet.wait(false); // the first requests may arrive while the server is being started
+    RoutedRequest routed = routeRequest(core::CallerId{core::raw(call)}, std::move(request), {settings.maxTasks});
+    if (auto *event = std::get_if<core::Event>(&routed)) {
+        post(std::move(*event));
+    } else if (const auto *admin = std::get_if<AdminRequest>(&routed)) {
+        queue.push({AdminCall{call, *admin}, {}});
+    } else {
+        auto &answer = std::get<net::HttpAnswer>(routed);
+        badRequests += answer.status >= 400 ? 1 : 0;
+        server->answer(call, std::move(answer));
+    }
+}
+
+void Daemon::State::onPeerBytes(const net::PeerIdentity &peer, std::string_view bytes)
+{
+    auto message = net::decodePeerMessage(bytes);
+    if (!message) {
+        ++peerUndecodable;
+        dispatcher::log(NoticeLevel::Warning, "peers",
+                        "message dropped node=" + peer.node + " place=" + message.error().place
+                                + " detail=" + message.error().detail);
+        return;
+    }
+    const PeerTraffic traffic{net::peerMessageName(*message), bytes.size()};
+    queue.push(
+            {core::PeerMessageReceived{peer.node, core::Incarnation{peer.incarnation}, *std::move(message)}, traffic});
+}
+
+net::PeerLinkHandlers Daemon::State::makeLinkHandlers()
+{
+    return {[this](const net::PeerIdentity &peer) {
+                dispatcher::log(NoticeLevel::Info, "peers", "connected node=" + peer.node + " address=" + peer.address);
+                post(core::PeerConnected{{peer.node, peer.address, peer.zone, core::Incarnation{peer.incarnation}}});
+            },
+            [this](const std::string &node) {
+                dispatcher::log(NoticeLevel::Info, "peers", "disconnected node=" + node);
+                post(core::PeerDisconnected{node});
+            },
+            [this](const net::PeerIdentity &peer, std::string &&bytes) { onPeerBytes(peer, bytes); }};
+}
+
+platform::LogClientHandlers Daemon::State::makeLogHandlers()
+{
+    return {[this](core::LogRead &&read) { post(std::move(read)); },
+            [this](core::LogUnavailable unavailable) { post(unavailable); },
+            [this](core::AppendEnded ended) { post(ended); }};
+}
+
+bool Daemon::State::startLinks(std::string &error)
+{
+    links = net::PeerLinks::start(makeLinkSettings(settings, coreSettings.self), makeLinkHandlers(), error);
+    return links != nullptr;
+}
+
+void Daemon::State::startReading()
+{
+    log->follow(core::Stream::Ownership, 0);
+    log->follow(core::Stream::Config, 0);
+    vmList = std::make_unique<platform::VmListClient>(
+            platform::VmListSettings{settings.vmListUrl, settings.vmListIntervalMs}, platformHttp,
+            [this](core::VmListRead &&read) { post(std::move(read)); },
+            [this](std::string_view reason) {
+                ++vmListFailures;
+                dispatcher::log(NoticeLevel::Warning, "platform",
+                                std::string("VM list not read detail=").append(reason));
+            });
+}
+
+// Control thread ------------------------------------------------------------------------------------
+
+void Daemon::State::run()
+{
+    std::vector<Arrival> arrivals;
+    auto houseDue = Clock::now();
+    handleEvent(core::TimerFired{});
+    while (!quit) {
+        const auto timerDue = timerUs == INT64_MAX ? houseDue : Clock::time_point(std::chrono::microseconds(timerUs));
+        queue.take(arrivals, std::min(houseDue, timerDue));
+        for (Arrival &arrival : arrivals)
+            handle(std::move(arrival));
+        if (readClocks().monoUs >= timerUs) {
+            timerUs = INT64_MAX;
+            handleEvent(core::TimerFired{});
+        }
+        if (Clock::now() >= houseDue) {
+            keepHouse();
+            houseDue = Clock::now() + housekeepingInterval;
+        }
+    }
+}
+
+void Daemon::State::handle(Arrival &&arrival)
+{
+    if (!arrival.traffic.type.empty()) {
+        Traffic &traffic = counters.peerReceived[arrival.traffic.type];
+        ++traffic.messages;
+        traffic.bytes += arrival.traffic.bytes;
+    }
+    if (const auto *admin = std::get_if<AdminCall>(&arrival.content))
+        answerAdmin(*admin);
+    else
+        handleEvent(std::move(std::get<core::Event>(arrival.content)));
+}
+
+void Daemon::State::handleEvent(core::Event &&event)
+{
+    observe(event);
+    actions.clear();
+    core.handle(readClocks(), std::move(event), actions);
+    for (core::Action &action : actions)
+        std::visit([this](auto &&alternative) { act(std::move(alternative)); }, std::move(action));
+}
+
+// Counts what only the process sees.
+void Daemon::State::observe(const core::Event &event)
+{
+    if (const auto *read = std::get_if<core::LogRead>(&event)) {
+        if (read->stream == core::Stream::Ownership)
+            counters.ownershipNext = read->nextOffset;
+    } else if (std::holds_alternative<core::LogUnavailable>(event)) {
+        ++counters.logFailures;
+    } else if (const auto *ended = std::get_if<core::AppendEnded>(&event)) {
+        counters.appendsAppended += ended->outcome == core::AppendOutcome::Appended ? 1 : 0;
+        counters.appendsRefused += ended->outcome == core::AppendOutcome::Refused ? 1 : 0;
+        counters.appendsUnknown += ended->outcome == core::AppendOutcome::Unknown ? 1 : 0;
+    }
+}
+
+void Daemon::State::keepHouse()
+{
+    for (const HttpCall call : server->takeGone()) {
+        ++counters.callersGone;
+        handleEvent(core::CallerGone{core::CallerId{core::raw(call)}});
+    }
+    backends.shareConnections(static_cast<std::uint32_t>(core.membership().live().size()));
+}
+
+void Daemon::State::answerAdmin(const AdminCall &call)
+{
+    net::HttpAnswer answer;
+    switch (call.request) {
+    case AdminRequest::Ready:
+        answer = makeReadyAnswer(core);
+        break;
+    case AdminRequest::Status:
+        answer = makeStatusAnswer(
+                core, {CLEMENTINELIFT_VERSION, coreSettings.self, counters.ownershipNext, readClocks().wallMs});
+        break;
+    case AdminRequest::Config:
+        answer = makeConfigAnswer(core.configuration());
+        break;
+    case AdminRequest::Metrics:
+        collectCounters();
+        answer.body = writeMetrics(core, links->counters(), counters, readClocks().wallMs);
+        answer.contentType = "text/plain; version=0.0.4";
+        break;
+    case AdminRequest::Drain:
+        beginDrain();
+        answer = {202, R"({"draining":true})"};
+        break;
+    }
+    server->answer(call.call, std::move(answer));
+}
+
+void Daemon::State::collectCounters()
+{
+    counters.platformBytes = platformHttp.bytesSent() + platformHttp.bytesReceived();
+    counters.backendControlBytes = backends.controlBytes();
+    counters.logNeutralRecords = log->neutralRecords();
+    counters.vmListFailures = vmListFailures;
+    counters.peerUndecodable = peerUndecodable;
+    counters.badRequests = badRequests;
+    counters.controlCpuS = readCpuSeconds(CLOCK_THREAD_CPUTIME_ID);
+    counters.processCpuS = readCpuSeconds(CLOCK_PROCESS_CPUTIME_ID);
+}
+
+void Daemon::State::beginDrain()
+{
+    server->closeIdle();
+    handleEvent(core::BeginDrain{});
+}
+
+// Actions -------------------------------------------------------------------------------------------
+
+void Daemon::State::act(core::AnswerCaller &&action)
+{
+    server->answer(HttpCall{core::raw(action.caller)}, net::encodeAnswer(action.answer));
+}
+
+void Daemon::State::act(core::AnswerKeys &&action)
+{
+    server->answer(HttpCall{core::raw(action.caller)}, net::encodeKeys(action));
+}
+
+void Daemon::State::act(core::AnswerExplain &&action)
+{
+    server->answer(HttpCall{core::raw(action.caller)}, net::encodeTrace(action));
+}
+
+void Daemon::State::act(core::SendPeer &&action)
+{
+    std::string bytes = net::encodePeerMessage(action.message);
+    Traffic &traffic = counters.peerSent[net::peerMessageName(action.message)];
+    ++traffic.messages;
+    traffic.bytes += bytes.size();
+    links->send(std::move(action.node), std::move(bytes));
+}
+
+void Daemon::State::act(core::DrainFinished &&)
+{
+    drained = true;
+}
+
+// Interface -----------------------------------------------------------------------------------------
+
+Daemon::Daemon(std::unique_ptr<State> state) : m_state(std::move(state)) {}
+
+tl::expected<std::unique_ptr<Daemon>, std::string> Daemon::start(const config::ProcessSettings &settings)
+{
+    auto owned = std::make_unique<State>(settings);
+    State *state = owned.get();
+    std::string error;
+    if (!state->startLinks(error))
+        return tl::unexpected("peer links: " + error);
+    state->log = std::make_unique<platform::LogClient>(platform::LogClientSettings{.url = settings.logServiceUrl},
+                                                       state->platformHttp, state->makeLogHandlers());
+
+    auto server =
+            net::HttpServer::start(makeServerSettings(settings), [state](HttpCall call, net::HttpRequest &&request) {
+                state->onRequest(call, std::move(request));
+            });
+    if (!server)
+        return tl::unexpected("caller interface: " + server.error());
+    state->server = *std::move(server);
+    state->serverSet = true;
+    state->serverSet.notify_all();
+    state->startReading();
+    state->control = std::thread([state] { state->run(); });
+    log(NoticeLevel::Info, "process",
+        "started node=" + settings.core.self.name + " zone=" + settings.core.self.zone + " callers="
+                + settings.callerAddress + " peers=" + settings.peerAddress + " version=" CLEMENTINELIFT_VERSION);
+    return std::unique_ptr<Daemon>(new Daemon(std::move(owned)));
+}
+
+// Answers first, then the control thread that may still produce some, then everything that only feeds it.
+Daemon::~Daemon()
+{
+    State &state = *m_state;
+    state.server->stop(deliveryWaitMs);
+    state.quit = true;
+    state.post(core::TimerFired{});
+    state.control.join();
+    state.platformHttp.stop();
+    state.backends.close();
+    state.links->stop();
+    log(NoticeLevel::Info, "process", "stopped");
+}
+
+void Daemon::drain()
+{
+    m_state->queue.push({AdminCall{HttpCall{}, AdminRequest::Drain}, {}});
+}
+
+bool Daemon::isDrained() const
+{
+    return m_state->drained;
+}
+
+} // namespace clementinelift::dispatcher
--- /dev/null
+++ b/packages/dispatcher/logging.cpp
@@ -0,0 +1,126 @@
+#include "dispatcher/logging.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <boost/log/attributes/clock.hpp>
+#include <boost/log/common.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/severity_channel_logger.hpp>
+#include <boost/log/support/date_time.hpp>
+#include <boost/log/trivial.hpp>
+#include <boost/log/utility/setup/console.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <iostream>
+#include <mutex>
+#include <optional>
+
+namespace clementinelift::dispatcher {
+
+namespace {
+
+using core::NoticeLevel;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::size_t maxKinds = 1000; // kinds of lines that are counted at once
+constexpr auto window = std::chrono::seconds(1);
+
+std::atomic<NoticeLevel> lowestLevel = NoticeLevel::Info;
+
+struct Repeats
+{
+    Clock::time_point since;
+    std::uint32_t written = 0;
+    std::uint32_t dropped = 0;
+};
+
+// Counts lines of one kind: the same part and the same text up to its first field.
+class RepeatLimit
+{
+public:
+    // Number of lines that were dropped before this one, or nothing when this one is to be dropped, too.
+    std::optional<std::uint32_t> admit(std::string_view part, std::string_view text)
+    {
+        const std::string_view sentence = text.substr(0, text.find('='));
+        const std::lock_guard lock(m_mutex);
+        if (m_kinds.size() >= maxKinds)
+            m_kinds.clear();
+        Repeats &repeats = m_kinds[std::string(part).append(1, ':').append(sentence)];
+        const auto now = Clock::now();
+        std::uint32_t dropped = 0;
+        if (now - repeats.since >= window) {
+            dropped = repeats.dropped;
+            repeats = {now, 0, 0};
+        }
+        if (repeats.written >= maxRepeatsPerS) {
+            ++repeats.dropped;
+            return std::nullopt;
+        }
+        ++repeats.written;
+        return dropped;
+    }
+
+private:
+    std::mutex m_mutex;
+    absl::flat_hash_map<std::string, Repeats> m_kinds;
+};
+
+boost::log::trivial::severity_level toSeverity(NoticeLevel level)
+{
+    switch (level) {
+    case NoticeLevel::Debug:
+        return boost::log::trivial::debug;
+    case NoticeLevel::Info:
+        return boost::log::trivial::info;
+    case NoticeLevel::Warning:
+        return boost::log::trivial::warning;
+    case NoticeLevel::Error:
+        break;
+    }
+    return boost::log::trivial::error;
+}
+
+// Names and texts from other systems must not begin a line of their own.
+std::string withoutControls(std::string_view text)
+{
+    std::string plain(text);
+    for (char &c : plain) {
+        if (static_cast<unsigned char>(c) < 0x20 || c == 0x7f)
+            c = '?';
+    }
+    return plain;
+}
+
+} // namespace
+
+void initLogging(NoticeLevel level)
+{
+    namespace expr = boost::log::expressions;
+    lowestLevel = level;
+    boost::log::core::get()->add_global_attribute("TimeStamp", boost::log::attributes::utc_clock());
+    boost::log::add_console_log(
+            std::clog, boost::log::keywords::auto_flush = true,
+            boost::log::keywords::format = expr::stream
+                    << expr::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ") << ' '
+                    << boost::log::trivial::severity << ' ' << expr::attr<std::string>("Channel") << ": "
+                    << expr::smessage);
+}
+
+void log(NoticeLevel level, std::string_view part, std::string_view text)
+{
+    static RepeatLimit limit;
+    if (level < lowestLevel)
+        return;
+    const auto dropped = limit.admit(part, text);
+    if (!dropped)
+        return;
+    std::string line = withoutControls(text);
+    if (*dropped > 0)
+        line += " repeats_dropped=" + std::to_string(*dropped);
+    boost::log::sources::severity_channel_logger<boost::log::trivial::severity_level> logger(
+            boost::log::keywords::channel = std::string(part));
+    BOOST_LOG_SEV(logger, toSeverity(level)) << line;
+}
+
+} // namespace clementinelift::dispatcher
--- /dev/null
+++ b/packages/dispatcher/main.cpp
@@ -0,0 +1,116 @@
+#include "config/ini_reader.h"
+#include "config/settings.h"
+#include "dispatcher/daemon.h"
+#include "dispatcher/logging.h"
+
+#include <docopt/docopt.h>
+
+#include <csignal>
+#include <ctime>
+#include <iostream>
+
+using namespace clementinelift;
+
+namespace {
+
+constexpr char usage[] = R"(clementinelift - dispatcher for sub-second tasks, one process on each entry VM
+
+Usage:
+  clementinelift --config FILE
+  clementinelift --check FILE
+  clementinelift --help
+  clementinelift --version
+
+Options:
+  --config FILE  Run with the settings in this INI file, in the foreground.
+  --check FILE   Check the settings, print one line for each finding, and exit.
+  -h --help      Show this page.
+  --version      Show the version.
+
+Description:
+  Takes jobs from callers over HTTP and runs their tasks on backend servers. Settings are read once; templates and
+  parameters of organisations come from the platform's log service and are published with clementinelift-ctl.
+  Log lines go to standard error, metrics and state to /metrics and /status of the caller address.
+
+Signals:
+  SIGTERM, SIGINT  Drain: take no new keys, let running jobs end, deliver their answers, exit.
+
+Exit status:
+  0  stopped gracefully, or no findings
+  1  findings in the settings, or an address cannot be used
+  2  wrong usage
+)";
+
+constexpr int exitFailure = 1;
+constexpr int exitUsage = 2;
+constexpr timespec pollInterval{0, 50 * 1000 * 1000};
+
+core::NoticeLevel toNoticeLevel(config::LogLevel level)
+{
+    return static_cast<core::NoticeLevel>(level);
+}
+static_assert(static_cast<int>(config::LogLevel::Debug) == static_cast<int>(core::NoticeLevel::Debug));
+static_assert(static_cast<int>(config::LogLevel::Error) == static_cast<int>(core::NoticeLevel::Error));
+
+int printFindings(const core::Findings &findings)
+{
+    for (const core::Finding &finding : findings)
+        std::cerr << config::toString(finding) << '\n';
+    return exitFailure;
+}
+
+// The signals are blocked before any thread starts, so only sigtimedwait() below receives them.
+sigset_t blockSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+int run(const config::ProcessSettings &settings)
+{
+    const sigset_t signals = blockSignals();
+    std::signal(SIGPIPE, SIG_IGN); // a peer that closes its connection is an error of that connection only
+    dispatcher::initLogging(toNoticeLevel(settings.logLevel));
+    const auto daemon = dispatcher::Daemon::start(settings);
+    if (!daemon) {
+        dispatcher::log(core::NoticeLevel::Error, "process", "cannot start detail=" + daemon.error());
+        return exitFailure;
+    }
+    while (!(*daemon)->isDrained()) {
+        if (sigtimedwait(&signals, nullptr, &pollInterval) > 0)
+            (*daemon)->drain();
+    }
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::map<std::string, docopt::value> arguments;
+    try {
+        arguments = docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, true);
+    } catch (const docopt::DocoptExitHelp &) {
+        std::cout << usage;
+        return 0;
+    } catch (const docopt::DocoptExitVersion &) {
+        std::cout << "clementinelift " CLEMENTINELIFT_VERSION "\n";
+        return 0;
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << "\nclementinelift --help shows the usage\n";
+        return exitUsage;
+    }
+    const bool checkOnly = arguments["--check"].isString();
+    const auto settings = config::readSettings(arguments[checkOnly ? "--check" : "--config"].asString());
+    if (!settings)
+        return printFindings(settings.error());
+    if (checkOnly) {
+        std::cout << arguments["--check"].asString() << ": no findings\n";
+        return 0;
+    }
+    return run(*settings);
+}
--- a/packages/net/codec.h
+++ b/packages/net/codec.h
@@ -7,6 +7,7 @@
 // Contents
 //   Errors
 //   Caller interface     JSON of docs/protocols.md, section 1
+//   Backend servers      JSON, section 3
 //   Peer messages        CBOR, section 6
 //   Log records          CBOR, section 7
 #pragma once
@@ -57,6 +58,11 @@
 HttpAnswer encodeKeys(const core::AnswerKeys &answer);
 HttpAnswer encodeTrace(const core::AnswerExplain &answer);
 
+// Backend servers -----------------------------------------------------------------------------------
+
+// Body of GET /v1/tasks/{attempt}; the attempt of the result is left alone.
+Decoded<core::AttemptStatus> decodeAttemptStatus(std::string_view body);
+
 // Peer messages -------------------------------------------------------------------------------------
 
 std::string encodePeerMessage(const core::PeerMessage &message);
--- a/packages/net/codec_caller.cpp
+++ b/packages/net/codec_caller.cpp
@@ -1,4 +1,4 @@
-// JSON of the caller interface.
+// JSON of the caller interface and of backend servers.
 #include "net/bounded_json.h"
 #include "net/codec.h"
 
@@ -354,6 +354,34 @@
     return makeAnswer(200, Json{{"keys", std::move(keys)}});
 }
 
+Decoded<AttemptStatus> decodeAttemptStatus(std::string_view body)
+{
+    constexpr std::pair<std::string_view, AttemptState> states[] = {{"running", AttemptState::Running},
+                                                                    {"completed", AttemptState::Completed},
+                                                                    {"failed", AttemptState::Failed},
+                                                                    {"unknown", AttemptState::NotKnown}};
+    std::string problem;
+    const Json object = parseBounded(body, Json::input_format_t::json, {maxRequestDepth, valuesPerRequest}, problem);
+    if (object.is_discarded())
+        return tl::unexpected(DecodeError{"", "not JSON: " + problem});
+    std::optional<DecodeError> error;
+    Fields fields(object, "", error);
+    AttemptStatus status;
+    if (const std::string *state = fields.text("state", true)) {
+        const auto found = std::find_if(std::begin(states), std::end(states),
+                                        [&](const auto &known) { return known.first == *state; });
+        if (found != std::end(states))
+            status.state = found->second;
+        else
+            fields.fail("state", "unknown state");
+    }
+    if (const std::string *result = fields.text("result", status.state == AttemptState::Completed))
+        status.result = *result;
+    if (error)
+        return tl::unexpected(*std::move(error));
+    return status;
+}
+
 HttpAnswer encodeTrace(const AnswerExplain &answer)
 {
     Json trace = Json::array();
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -31,6 +31,7 @@
     std::string body = {};
     HttpFields headers = {};
     std::int64_t timeoutMs = 5000; // waiting for a connection included
+    std::int64_t delayMs = 0;      // sent this much later; timeoutMs begins then
     bool repeatable = false;       // may be sent again on a new connection when a kept one turns out to be closed
 };
 
@@ -64,7 +65,10 @@
     // Thread-safe. done is called exactly once, never from inside send().
     void send(HttpClientRequest &&request, Done &&done);
 
-    // Ends all requests with NotSent or Unknown and joins the thread. send() must not be called any more.
+    // Thread-safe; replaces maxHostConnections for connections that are opened from now on.
+    void setMaxHostConnections(long connections);
+
+    // Ends all requests with NotSent or Unknown and joins the thread. Later ones are dropped without a call of done.
     void stop();
 
     std::size_t openRequests() const;
--- a/packages/net/peer_link.cpp
+++ b/packages/net/peer_link.cpp
@@ -106,7 +106,7 @@
     const std::string *zone = findText(map, "zone");
     const auto incarnation = map.find("incarnation");
     if (node == nullptr || address == nullptr || zone == nullptr || node->empty() || incarnation == map.end()
-        || !incarnation->is_number_unsigned())
+        || !incarnation->is_number_unsigned() || incarnation->get<std::uint64_t>() == 0)
         return result;
     if (std::max({node->size(), address->size(), zone->size()}) > maxNameBytes)
         return result;
