Read a stream without waiting until its end is known

The first read of an empty stream waited 5 s for a record, so a new entry VM became ready 5 s late. It now asks without a wait until a read has succeeded.

--- a/packages/dispatcher/daemon.cpp
+++ b/packages/dispatcher/daemon.cpp
@@ -228,6 +228,8 @@
             platform::VmListSettings{settings.vmListUrl, settings.vmListIntervalMs}, platformHttp,
             [this](core::VmListRead &&read) { post(std::move(read)); },
             [this](std::string_view reason) {
+                if (quit)
+                    return; // the read was ended by the stop
                 ++vmListFailures;
                 dispatcher::log(NoticeLevel::Warning, "platform",
                                 std::string("VM list not read detail=").append(reason));
--- a/packages/platform/log_client.cpp
+++ b/packages/platform/log_client.cpp
@@ -148,7 +148,8 @@
     {
         std::uint64_t generation = 0; // raised by follow(); answers to older reads are ignored
         std::int64_t next = 0;
-        std::int64_t retryMs = 0;
+        std::int64_t retryMs = 0; // after a failed read
+        bool isCurrent = false;   // the last read succeeded
     };
 
     LogClientSettings settings;
@@ -164,9 +165,9 @@
 
 void LogClient::State::read(core::Stream stream, const Cursor &cursor)
 {
-    // After a failure the first read does not wait, so that the end of an outage shows at once.
+    // The first read, also after a failure, does not wait: where the stream ends has to be known at once.
     net::HttpClientRequest request =
-            makeReadRequest(settings.url, stream, cursor.next, cursor.retryMs > 0 ? 0 : settings.pollWaitMs);
+            makeReadRequest(settings.url, stream, cursor.next, cursor.isCurrent ? settings.pollWaitMs : 0);
     request.delayMs = cursor.retryMs;
     http.send(std::move(request), [this, stream, generation = cursor.generation](HttpResult &&result) {
         onRead(stream, generation, result);
@@ -185,6 +186,7 @@
         return;
     const bool isAnswer = result.outcome == HttpOutcome::Answered && result.status == 200;
     auto page = isAnswer ? decodeLogPage(stream, now.next, result.body) : tl::unexpected(DecodeError{"", "no answer"});
+    now.isCurrent = page.has_value();
     if (page) {
         now.retryMs = 0;
         now.next = page->records.empty() ? std::max(now.next, page->firstAvailable) : page->records.back().offset + 1;
@@ -215,7 +217,7 @@
     {
         const std::lock_guard lock(m_state->mutex);
         State::Cursor &cursor = m_state->cursors[static_cast<std::size_t>(stream)];
-        cursor = {cursor.generation + 1, offset, 0};
+        cursor = {cursor.generation + 1, offset};
         now = cursor;
     }
     m_state->read(stream, now);
