--- a/packages/ctl/publisher.h
+++ b/packages/ctl/publisher.h
@@ -51,8 +51,8 @@
 
     const core::Configuration &configuration() const { return m_configuration; }
 
-    // Called with the outcome of every change that is read; the history of the configuration is shorter.
-    std::function<void(const core::ChangeOutcome &)> onOutcome;
+    // Called for every change that is read; the history of the configuration is shorter.
+    std::function<void(const core::LogRecord &, const core::ChangeOutcome &)> onOutcome;
 
 private:
     tl::expected<std::int64_t, std::string> readOnce(); // the end of the log
@@ -67,7 +67,7 @@
     const bool isNext = record.offset == m_configuration.nextOffset();
     m_configuration.apply(record);
     if (isNext && onOutcome && std::holds_alternative<core::ChangeRecord>(record.body))
-        onOutcome(m_configuration.history().back());
+        onOutcome(record, m_configuration.history().back());
 }
 
 template <LogAccess Log> tl::expected<std::int64_t, std::string> LogReader<Log>::readOnce()
@@ -151,7 +151,7 @@
 {
     PublishResult result;
     std::optional<core::ChangeOutcome> found;
-    reader.onOutcome = [&](const core::ChangeOutcome &outcome) {
+    reader.onOutcome = [&](const core::LogRecord &, const core::ChangeOutcome &outcome) {
         if (outcome.changeId == change.changeId && (!found || found->verdict != core::ChangeVerdict::Accepted))
             found = outcome;
     };
