--- a/tests/process/cluster.sh
+++ b/tests/process/cluster.sh
@@ -121,6 +121,35 @@
     done
 }
 
+# Publishes the templates and organisations that the callers use.
+publish_configuration()
+{
+    cat >"$run_dir/entries.ini" <<ENTRIES
+[template reorder]
+repeat = never
+deadline_ms = 20000
+run_ms = 250
+
+[template quote]
+repeat = allowed
+deadline_ms = 20000
+run_ms = 250
+
+[organisation north]
+concurrency = 2000
+weight = 2
+
+[organisation south]
+concurrency = 2000
+
+[organisation west]
+concurrency = 2000
+response_weight = 0.9
+ENTRIES
+    "$bin/clementinelift-ctl" publish --config="$run_dir/${entry_names[0]}.ini" --author=cluster "$run_dir/entries.ini" \
+        >"$run_dir/publish.txt" 2>&1 || fail "publish: $(cat "$run_dir/publish.txt")"
+}
+
 # Starts the stand-ins and ZONES x PER_ZONE entry VMs; further arguments go to the stand-ins.
 start_cluster()
 {
@@ -145,9 +174,9 @@
     wait_until 10 test -s "$run_dir/port" || fail "the stand-ins did not start: $(cat "$run_dir/standins.log")"
     platform=127.0.0.1:$(cat "$run_dir/port")
     for name in "${entry_names[@]}"; do write_settings "$name"; done
-    publish_configuration
     for name in "${entry_names[@]}"; do start_entry_vm "$name"; done
     wait_ready "${entry_names[@]}"
+    publish_configuration
 }
 
 # Sends one command to the control endpoint of the stand-ins.
