--- a/tests/fuzz/world.h
+++ b/tests/fuzz/world.h
@@ -205,6 +205,7 @@
     core::Configuration m_reference; // fold of the whole configuration stream
     LogMode m_logMode = LogMode::Up;
     int m_appendsToLose = 0;
+    std::int64_t m_unservedMs = 0; // without an entry VM that could append a snapshot
     bool m_isListUp = true;
     std::deque<std::pair<std::int64_t, core::VmListRead>> m_lists; // ascending by time
     std::map<std::string, core::Key> m_keys;                       // by submission id
