--- a/packages/core/dispatcher_state.h
+++ b/packages/core/dispatcher_state.h
@@ -23,6 +23,7 @@
 
 #include <map>
 #include <random>
+#include <set>
 
 namespace clementinelift::core {
 
@@ -280,8 +281,10 @@
     std::uint64_t nextWaiter = 1;
 
     // Other entry VMs.
-    std::map<std::string, detail::Link, std::less<>> links;       // by node name
-    absl::flat_hash_map<Incarnation, std::string> nodeNames;      // of the incarnations in links
+    std::map<std::string, detail::Link, std::less<>> links;  // by node name
+    absl::flat_hash_map<Incarnation, std::string> nodeNames; // of the incarnations in links
+    absl::flat_hash_set<Incarnation> replaced;               // ended, their VM runs a newer one; bounded
+    std::deque<Incarnation> replacedOrder;
     absl::flat_hash_map<std::uint64_t, detail::Forward> forwards; // by request id
     std::uint64_t nextRequest = 0;
     std::uint64_t nextEpoch = 1;
@@ -304,7 +307,7 @@
     std::uint64_t nextAppend = 1;
     std::int64_t maxAcceptedIssueMs = 0;                                   // of owned keys
     std::map<std::string, std::int64_t, std::less<>> repeatAllowedSinceMs; // templates that ever allowed repeats
-    std::map<std::string, bool> leavingBackends;                           // value: the own VM list shows it, too
+    std::set<std::string> leavingBackends; // until the own VM list does not contain them any more
 
     // Draining.
     bool draining = false;
