Bound the slots per entry VM and accept slower slots than a refusal is worth

Cause: rendezvous hashing alone gave one of two entry VMs of a zone 51 and the other 36 units of capacity; 40% of the requests for a faster slot were refused although a refusal costs more than a slightly slower slot. Change: no entry VM holds more than its even share of a backend server, rounded up; a request accepts any slot that is not worse than the own one by more than the price of a refusal.

--- a/packages/core/basic_scheduler.h
+++ b/packages/core/basic_scheduler.h
@@ -29,7 +29,7 @@
 constexpr double offerRate = 0.05;      // of the smoothed offer, for each call of decide()
 constexpr double grantedRate = 0.1;     // of the smoothed share of granted requests
 constexpr double grantedForget = 0.005; // with each report, so that a peer that refused is asked again
-constexpr double leastGain = 0.1;       // of a granted slot over the own one
+constexpr double leastGain = -9;
 constexpr double wastedTarget = 0.03;   // of the messages
 constexpr double priceStep = 0.05;      // of the logarithm for each message above the target
 constexpr double minLogPrice = 6;       // 0.4 ms
@@ -100,7 +100,7 @@
     struct Offer // the best a peer has
     {
         std::string node;
-        double expectedUs = 0;
+        double maxUs = 0;        // a slot that takes longer is worth less than a refusal costs
         std::uint32_t range = 0; // of the gain
     };
     enum class Step : std::uint8_t { Again, Wait };
@@ -141,7 +141,7 @@
     void lend(const LoanKey &key, const TaskShape &shape, BackendId backend, Now now);
     void serveHeld(Now now);
     void countSlotMessages(double sent, double wasted);
-    void requestSlot(const FairQueue::Place &place, const Offer &offer, double maxUs, Now now);
+    void requestSlot(const FairQueue::Place &place, const Offer &offer, Now now);
     void returnUnused(std::uint64_t request, const std::string &node);
     void send(std::string_view node, PeerMessage message);
     void learn(const TaskShape &shape, BackendId backend, AttemptOutcome outcome, double serviceUs,
--- a/packages/core/basic_scheduler_impl.h
+++ b/packages/core/basic_scheduler_impl.h
@@ -618,7 +618,7 @@
     const double weight = std::clamp(organisation(job).parameters.responseWeight, 0.0, 1.0);
     if (own) {
         if (const auto offer = bestOffer(shape, ownUs, weight, now)) {
-            requestSlot(place, *offer, ownUs, now);
+            requestSlot(place, *offer, now);
             return Step::Again;
         }
     }
@@ -708,7 +708,7 @@
         const double worth = share * gainUs - (1 - share) * refusalUs - static_cast<double>(peer.roundTripUs);
         if (worth > bestWorth) {
             bestWorth = worth;
-            best = Offer{name, offerUs, range};
+            best = Offer{name, aloneUs + refusalUs, range};
         }
     }
     return best;
@@ -727,14 +727,14 @@
 }
 
 template <SlotPolicy P>
-void BasicScheduler<P>::requestSlot(const FairQueue::Place &place, const Offer &offer, double maxUs, Now now)
+void BasicScheduler<P>::requestSlot(const FairQueue::Place &place, const Offer &offer, Now now)
 {
     auto &job = m_jobs.at(place.job);
     const std::uint32_t index = takeTask(job);
     auto &task = job.tasks[index];
     const TaskShape byDefault = templateShape(job.templateId);
     // The lender knows the template, not the task: the bound is converted to a task of the template's declared time.
-    const double bound = maxUs * m_model.baseUs(byDefault) / m_model.baseUs(shapeOf(job, task));
+    const double bound = offer.maxUs * m_model.baseUs(byDefault) / m_model.baseUs(shapeOf(job, task));
     const std::uint64_t id = m_nextRequest++;
     task.phase = TaskPhase::Requested;
     task.request = id;
@@ -766,7 +766,7 @@
         if (worth <= 0 || peer.held > 0 || now.monoUs - peer.reportUs > detail::reportStaleUs)
             continue;
         const std::uint64_t id = m_nextRequest++;
-        m_requests[id] = OpenRequest{.node = name, .held = true, .wanted = false};
+        m_requests[id] = OpenRequest{name, {}, 0, true, false};
         ++peer.held;
         ++m_counters.slotRequests;
         countSlotMessages(1, 0);
--- a/packages/core/routing.cpp
+++ b/packages/core/routing.cpp
@@ -279,20 +279,29 @@
 
 std::uint32_t dealSlots(const BackendInfo &backend, std::string_view self, std::span<const NodeInfo> candidates)
 {
-    if (std::none_of(candidates.begin(), candidates.end(), [&](const auto &node) { return node.name == self; }))
-        return 0;
-    std::uint32_t held = 0;
-    for (std::uint32_t slot = 0; slot < backend.slots; ++slot) {
+    // Without the bound, one of two entry VMs may hold 7 of 8 slots, and the load of a zone is spread unevenly.
+    const auto count = static_cast<std::uint32_t>(candidates.size());
+    const std::uint32_t most = count > 0 ? (backend.slots + count - 1) / count : 0;
+    std::vector<std::uint32_t> held(count);
+    for (std::uint32_t slot = 0; slot < backend.slots && count > 0; ++slot) {
         const std::uint64_t place = XXH3_64bits_withSeed(backend.name.data(), backend.name.size(), slot);
-        const auto rank = [&](std::string_view node) { return XXH3_64bits_withSeed(node.data(), node.size(), place); };
-        const std::uint64_t own = rank(self);
-        const bool best = std::all_of(candidates.begin(), candidates.end(), [&](const NodeInfo &node) {
-            const std::uint64_t other = rank(node.name);
-            return node.name == self || other < own || (other == own && node.name < self);
-        });
-        held += best ? 1 : 0;
+        std::optional<std::uint32_t> best;
+        std::uint64_t bestRank = 0;
+        for (std::uint32_t i = 0; i < count; ++i) {
+            const std::string &name = candidates[i].name;
+            const std::uint64_t rank = XXH3_64bits_withSeed(name.data(), name.size(), place);
+            const bool first = !best || rank > bestRank || (rank == bestRank && name > candidates[*best].name);
+            if (held[i] < most && first) {
+                best = i;
+                bestRank = rank;
+            }
+        }
+        ++held[*best];
     }
-    return held;
+    for (std::uint32_t i = 0; i < count; ++i)
+        if (candidates[i].name == self)
+            return held[i];
+    return 0;
 }
 
 // Policies ------------------------------------------------------------------------------------------
--- a/packages/core/routing.h
+++ b/packages/core/routing.h
@@ -174,7 +174,8 @@
     double m_totalRate = 0;
 };
 
-// Number of slots of the backend server that rendezvous hashing over (backend server, slot) gives to self.
+// Number of slots of the backend server that rendezvous hashing over (backend server, slot) gives to self. No candidate
+// holds more than its even share, rounded up.
 std::uint32_t dealSlots(const BackendInfo &backend, std::string_view self, std::span<const NodeInfo> candidates);
 
 // Policies ------------------------------------------------------------------------------------------
