Refuse links between entry VMs with different ownership rules

Cause: the dedupe horizon and the progress step decide who owns a key, so they must be equal on all entry VMs. Change: the version in hello is a hash of the protocol, the horizon and the step.

--- a/packages/dispatcher/daemon.cpp
+++ b/packages/dispatcher/daemon.cpp
@@ -9,6 +9,11 @@
 #include "platform/log_client.h"
 #include "platform/vm_list_client.h"
 
+#include <absl/strings/str_cat.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <atomic>
 #include <chrono>
 #include <ctime>
@@ -79,12 +84,22 @@
             settings.ioThreads};
 }
 
+// Entry VMs with another horizon or progress step would derive other owners from the same log, so they are kept apart
+// like those with another protocol.
+std::uint32_t protocolVersion(const core::CoreSettings &core)
+{
+    const std::string rules =
+            absl::StrCat(net::peerProtocolVersion, "/", core.dedupeHorizonMs, "/", core.maxProgressStepMs);
+    return XXH32(rules.data(), rules.size(), 0);
+}
+
 net::PeerLinkSettings makeLinkSettings(const config::ProcessSettings &settings, const core::NodeInfo &self)
 {
     net::PeerLinkSettings link;
     link.self = {self.name, self.address, self.zone, raw(self.incarnation)};
     link.listenAddress = settings.peerAddress;
     link.secret = settings.peerSecret;
+    link.version = protocolVersion(settings.core);
     link.maxFrameBytes = settings.maxFrameBytes;
     return link;
 }
