--- a/packages/core/basic_scheduler_impl.h
+++ b/packages/core/basic_scheduler_impl.h
@@ -737,8 +737,7 @@
     m_outbox.push_back({std::string(node), std::move(message)});
 }
 
-template <SlotPolicy P>
-void BasicScheduler<P>::requestSlot(const FairQueue::Place &place, const Offer &offer, Now now)
+template <SlotPolicy P> void BasicScheduler<P>::requestSlot(const FairQueue::Place &place, const Offer &offer, Now now)
 {
     auto &job = m_jobs.at(place.job);
     const std::uint32_t index = takeTask(job);
--- a/packages/core/dispatcher.cpp
+++ b/packages/core/dispatcher.cpp
@@ -10,6 +10,8 @@
 constexpr int maxDecisionRounds = 16;              // drops may lead to further decisions
 constexpr std::int64_t minTimerUs = 1000;          // a part whose work is bounded by a round continues after this time
 constexpr std::int64_t lateTimerUs = 10 * usPerMs; // a timer that is later means that the process was paused
+constexpr std::int64_t longPauseUs = usPerS;
+constexpr std::int64_t holdStartsUs = 100 * usPerMs; // the news of a long pause arrives before anything starts
 constexpr std::uint64_t requestIdMix = 0x9e3779b97f4a7c15;
 
 } // namespace
@@ -79,6 +81,8 @@
 {
     if (timerUs != INT64_MAX && step.now.monoUs >= timerUs + lateTimerUs)
         resumedUs = step.now.monoUs;
+    if (timerUs != INT64_MAX && step.now.monoUs >= timerUs + longPauseUs)
+        holdStartsUntilUs = step.now.monoUs + holdStartsUs;
     if (step.now.monoUs >= timerUs)
         timerUs = INT64_MAX;
     while (timers.isDue(step.now.monoUs)) {
@@ -115,7 +119,8 @@
 
 void Dispatcher::State::setTimer(Step &step)
 {
-    std::int64_t next = std::min({timers.nextUs(), scheduler.nextTimerUs(), membership.nextTimerUs()});
+    std::int64_t next =
+            std::min({timers.nextUs(), std::max(scheduler.nextTimerUs(), holdStartsUntilUs), membership.nextTimerUs()});
     if (ownershipAtEnd && !ownershipDown && !draining)
         next = std::min(next, std::max(planner.nextPlanUs(), grantsFromUs));
     if (snapshotDueUs > 0)
@@ -158,6 +163,9 @@
 
 void Dispatcher::State::runDecisions(Step &step)
 {
+    // After a pause the queue of the process may hold a task before the news that its backend server is leaving.
+    if (step.now.monoUs < holdStartsUntilUs)
+        return;
     for (int round = 0; round < maxDecisionRounds; ++round) {
         decisions.clear();
         scheduler.decide(step.now, decisions);
--- a/packages/core/dispatcher_state.h
+++ b/packages/core/dispatcher_state.h
@@ -319,6 +319,7 @@
     std::int64_t drainDueUs = 0;   // the end of the drain is checked again
 
     std::int64_t timerUs = INT64_MAX; // requested from the process
+    std::int64_t holdStartsUntilUs = 0;
 };
 
 } // namespace clementinelift::core
--- a/tests/unit/core/dispatcher_race_test.cpp
+++ b/tests/unit/core/dispatcher_race_test.cpp
@@ -474,3 +474,14 @@
     cluster.advance(200);
     CHECK(cluster.drainsFinished == 1);
 }
+
+// Guards G6 for an entry VM that was paused: it reads first what happened meanwhile.
+TEST_CASE("nothing starts right after a pause")
+{
+    Cluster cluster(1);
+    cluster.pause(5000);
+    cluster.submit(0, cluster.keyOwnedBy(0), "once");
+    CHECK(cluster.starts.empty());
+    cluster.advance(200);
+    CHECK(cluster.starts.size() == 1);
+}
