--- a/bench/core_bench.cpp
+++ b/bench/core_bench.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-std::int64_t g_allocatedBytes = 0; // of the heap, one thread
+std::int64_t allocatedBytes = 0; // of the heap, one thread
 
 } // namespace
 
@@ -29,7 +29,7 @@
     void *memory = std::malloc(size);
     if (memory == nullptr)
         throw std::bad_alloc();
-    g_allocatedBytes += static_cast<std::int64_t>(malloc_usable_size(memory));
+    allocatedBytes += static_cast<std::int64_t>(malloc_usable_size(memory));
     return memory;
 }
 
@@ -37,7 +37,7 @@
 {
     if (memory == nullptr)
         return;
-    g_allocatedBytes -= static_cast<std::int64_t>(malloc_usable_size(memory));
+    allocatedBytes -= static_cast<std::int64_t>(malloc_usable_size(memory));
     std::free(memory);
 }
 
@@ -225,7 +225,7 @@
 void measureKeys(std::size_t jobs, std::uint64_t maxAnswerBytes)
 {
     Bench bench(50, 4, maxAnswerBytes);
-    const std::int64_t before = g_allocatedBytes;
+    const std::int64_t before = allocatedBytes;
     for (std::size_t i = 0; i < jobs; ++i) {
         bench.submit(1);
         // 1,000 jobs a second, so that the timers of open deadlines weigh little.
@@ -236,26 +236,26 @@
     const std::size_t keys = bench.core().rememberedKeys();
     const auto stored = static_cast<std::int64_t>(bench.core().answerBytes());
     std::printf("memory per remembered key: keys=%zu bytes=%.1f results_in_bound=%.1f\n", keys,
-                static_cast<double>(g_allocatedBytes - before) / static_cast<double>(keys),
+                static_cast<double>(allocatedBytes - before) / static_cast<double>(keys),
                 static_cast<double>(stored) / static_cast<double>(keys));
 }
 
 void measureBackends(std::size_t count)
 {
     Bench bench(1, 4);
-    const std::int64_t before = g_allocatedBytes;
+    const std::int64_t before = allocatedBytes;
     bench.setBackends(count);
     std::printf("memory per backend server: servers=%zu bytes=%.1f\n", count,
-                static_cast<double>(g_allocatedBytes - before) / static_cast<double>(count - 1));
+                static_cast<double>(allocatedBytes - before) / static_cast<double>(count - 1));
 }
 
 void measureOrganisations(std::size_t count)
 {
     Bench bench(50, 1);
-    const std::int64_t before = g_allocatedBytes;
+    const std::int64_t before = allocatedBytes;
     bench.addOrganisations(1, count);
     std::printf("memory per organisation: organisations=%zu bytes=%.1f\n", count,
-                static_cast<double>(g_allocatedBytes - before) / static_cast<double>(count - 1));
+                static_cast<double>(allocatedBytes - before) / static_cast<double>(count - 1));
 }
 
 } // namespace
--- a/packages/core/dispatcher.cpp
+++ b/packages/core/dispatcher.cpp
@@ -71,7 +71,8 @@
 {
     detail::Step step{now, actions};
     m_state->runDueTimers(step);
-    std::visit([&](auto &&alternative) { m_state->on(step, std::move(alternative)); }, std::move(event));
+    std::visit([&](auto &&alternative) { m_state->on(step, std::forward<decltype(alternative)>(alternative)); },
+               std::move(event));
     m_state->settle(step);
 }
 
--- a/packages/core/dispatcher_attempts.cpp
+++ b/packages/core/dispatcher_attempts.cpp
@@ -177,6 +177,7 @@
 void Dispatcher::State::sendQuery(Step &step, std::uint64_t sequence, Attempt &attempt)
 {
     attempt.queryOpen = true;
+    attempt.queriedUs = step.now.monoUs;
     attempt.dueUs = step.now.monoUs + queryTimeoutUs;
     timers.add({.atUs = attempt.dueUs, .id = sequence, .kind = TimerKind::AttemptQuery});
     ++counters.queries;
@@ -213,7 +214,8 @@
         attempt.notKnownSinceUs = -1;
     else if (attempt.notKnownSinceUs < 0)
         attempt.notKnownSinceUs = step.now.monoUs;
-    if (attempt.notKnownSinceUs >= 0 && step.now.monoUs >= attempt.notKnownSinceUs + notKnownUs) {
+    // The time of the query counts: its answer may have waited for the end of a pause of this process.
+    if (attempt.notKnownSinceUs >= 0 && attempt.queriedUs >= attempt.notKnownSinceUs + notKnownUs) {
         // The backend server has restarted and its attempts have ended with it.
         const bool repeatable = mayRunAgain(*jobs.find(attempt.task.job));
         endAttempt(step, sequence, repeatable ? AttemptOutcome::Failed : AttemptOutcome::Unknown,
--- a/packages/core/dispatcher_forwards.cpp
+++ b/packages/core/dispatcher_forwards.cpp
@@ -275,7 +275,8 @@
     if (link == links.end() || link->second.incarnation != event.incarnation)
         return; // late message of an incarnation whose link is closed
     PeerMessage message = std::move(event.message);
-    std::visit([&](auto &&alternative) { onPeer(step, event, std::move(alternative)); }, std::move(message));
+    std::visit([&](auto &&alternative) { onPeer(step, event, std::forward<decltype(alternative)>(alternative)); },
+               std::move(message));
 }
 
 void Dispatcher::State::onPeer(Step &step, const PeerMessageReceived &from, Probe &&message)
--- a/packages/core/dispatcher_state.h
+++ b/packages/core/dispatcher_state.h
@@ -193,6 +193,7 @@
 
     // dispatcher_submissions.cpp
     bool joinKnown(Step &step, const Requester &requester, bool wait, const JobRequest &request);
+    void submitUnowned(Step &step, const Requester &requester, bool wait, JobRequest &&request);
     void acceptOrRefuse(Step &step, const Requester &requester, bool wait, JobRequest &&request, bool owned);
     void accept(Step &step, const Requester &requester, bool wait, JobRequest &&request, OrganisationId organisation,
                 TemplateId templateId);
--- a/packages/core/dispatcher_streams.cpp
+++ b/packages/core/dispatcher_streams.cpp
@@ -109,12 +109,13 @@
     bool jumped = false;
     for (const LogRecord &record : read.records)
         jumped = applyConfig(step, record) || jumped;
-    if (jumped && config.nextOffset() < read.nextOffset)
-        step.act(SeekLog{Stream::Config, config.nextOffset()}); // records below the snapshot record were passed over
-    else if (config.nextOffset() < read.nextOffset && read.firstAvailable <= config.nextOffset())
-        step.act(SeekLog{Stream::Config, config.nextOffset()}); // a read got lost
-    if (config.nextOffset() < read.nextOffset)
-        return; // records were dropped: a snapshot follows in the stream, or peers help
+    if (config.nextOffset() < read.nextOffset) {
+        // Records below a snapshot record were passed over, or a read got lost. Otherwise records were dropped: a
+        // snapshot follows in the stream, or peers help.
+        if (jumped || read.firstAvailable <= config.nextOffset())
+            step.act(SeekLog{Stream::Config, config.nextOffset()});
+        return;
+    }
     configDown = configDown && !read.caughtUp;
     if (read.caughtUp && !config.isKnown() && (before > 0 || read.firstAvailable == 0)) {
         config.markKnown();
--- a/packages/core/dispatcher_submissions.cpp
+++ b/packages/core/dispatcher_submissions.cpp
@@ -53,17 +53,23 @@
         passed.deadlineUs = step.now.monoUs + deadlineMsOf(request) * usPerMs;
         passed.request = std::move(request);
         forward(step, std::move(passed), owner);
-    } else if (issueMs > step.now.wallMs + settings.futureSkewMs) {
-        refuse(step, requester, request, Statement::AttemptNotRun, Reason::KeyInFuture);
-    } else if (issueMs < step.now.wallMs - settings.dedupeHorizonMs) {
-        refuse(step, requester, request, Statement::AttemptNotRun, Reason::KeyTooOld);
-    } else if (mayRepeat(request.templateName, step.now)) {
-        acceptOrRefuse(step, requester, event.wait, std::move(request), false);
     } else {
-        refuse(step, requester, request, Statement::AttemptNotRun, Reason::NoGrant);
+        submitUnowned(step, requester, event.wait, std::move(request));
     }
 }
 
+// Nobody owns the key: only templates that allow repeats run.
+void Dispatcher::State::submitUnowned(Step &step, const Requester &requester, bool wait, JobRequest &&request)
+{
+    const std::int64_t issueMs = issueTimeMs(request.key);
+    if (issueMs > step.now.wallMs + settings.futureSkewMs)
+        refuse(step, requester, request, Statement::AttemptNotRun, Reason::KeyInFuture);
+    else if (issueMs < step.now.wallMs - settings.dedupeHorizonMs)
+        refuse(step, requester, request, Statement::AttemptNotRun, Reason::KeyTooOld);
+    else
+        acceptOrRefuse(step, requester, wait, std::move(request), false);
+}
+
 void Dispatcher::State::onPeer(Step &step, const PeerMessageReceived &from, SubmitForward &&message)
 {
     const Requester requester{.node = from.incarnation, .requestId = message.requestId};
--- a/packages/core/jobs.cpp
+++ b/packages/core/jobs.cpp
@@ -18,7 +18,7 @@
     return JobId(static_cast<std::uint64_t>(generation) << slotBits | slot);
 }
 
-absl::string_view absl_view(std::string_view text)
+absl::string_view toAbsl(std::string_view text)
 {
     return {text.data(), text.size()};
 }
@@ -50,17 +50,17 @@
     case TraceStep::Started:
         return absl::StrCat("attempt started, task=", event.task, " backend=", event.value);
     case TraceStep::Ended:
-        return absl::StrCat("attempt ended, task=", event.task, " outcome=", absl_view(outcomeName(event.value)));
+        return absl::StrCat("attempt ended, task=", event.task, " outcome=", toAbsl(outcomeName(event.value)));
     case TraceStep::Resolving:
         return absl::StrCat("outcome unknown, asking the backend server, task=", event.task);
     case TraceStep::Requeued:
         return absl::StrCat("queued again, task=", event.task,
-                            " reason=", absl_view(toString(static_cast<RetryReason>(event.value))));
+                            " reason=", toAbsl(toString(static_cast<RetryReason>(event.value))));
     case TraceStep::Dropped:
         return absl::StrCat("dropped, task=", event.task,
-                            " reason=", absl_view(toString(static_cast<Reason>(event.value))));
+                            " reason=", toAbsl(toString(static_cast<Reason>(event.value))));
     case TraceStep::Answered:
-        return absl::StrCat("answered, reason=", absl_view(toString(static_cast<Reason>(event.value))));
+        return absl::StrCat("answered, reason=", toAbsl(toString(static_cast<Reason>(event.value))));
     }
     return {};
 }
--- a/packages/core/jobs.h
+++ b/packages/core/jobs.h
@@ -172,6 +172,7 @@
     bool resolving = false;
     bool queryOpen = false;            // a status query has not been answered
     std::uint8_t queries = 0;          // answered without a result, saturating
+    std::int64_t queriedUs = 0;        // the last query was sent
     std::int64_t dueUs = 0;            // of the timer that is in force
     std::int64_t notKnownSinceUs = -1; // the backend server has said since then that it does not know the attempt
 };
--- a/tests/unit/core/dispatcher_test.cpp
+++ b/tests/unit/core/dispatcher_test.cpp
@@ -281,8 +281,12 @@
             CHECK(cluster.answerCount(caller) == 0);
             cluster.advance(95);
         }
+        // The answer to an earlier query arrives after a pause.
         cluster.advance(1000);
         cluster.status(cluster.starts[0], AttemptState::NotKnown);
+        CHECK(cluster.answerCount(caller) == 0);
+        cluster.advance(2000);
+        cluster.status(cluster.starts[0], AttemptState::NotKnown);
         CHECK(cluster.answer(caller).reason == Reason::OutcomeUnknown);
         CHECK(cluster.answer(caller).effects == Effects::Possible);
     }
