End a drain under load

Failing first: process_graceful_stop killed an entry VM after 10 s, because callers went on sending requests for other owners and each forward restarted the linger. Forwards no longer do, and a draining entry VM refuses new ones when the linger has passed since the start of the drain.

--- a/packages/core/dispatcher_forwards.cpp
+++ b/packages/core/dispatcher_forwards.cpp
@@ -29,6 +29,12 @@
     reviewForward(step, requestId);
 }
 
+// A load balancer that has not noticed the drain yet sends requests for a while; later ones would keep the process.
+bool Dispatcher::State::mayForward(const Now &now) const
+{
+    return !draining || now.monoUs < drainBegunUs + settings.drainLingerMs * usPerMs;
+}
+
 // True when the owner has certainly ended: its VM runs a newer incarnation.
 bool Dispatcher::State::isReplaced(const Forward &forward) const
 {
--- a/packages/core/dispatcher_state.h
+++ b/packages/core/dispatcher_state.h
@@ -230,6 +230,7 @@
     void failUnanswered(Step &step, const Requester &requester);
     void endForward(Step &step, std::uint64_t requestId, Answer &&answer);
     bool isReplaced(const detail::Forward &forward) const;
+    bool mayForward(const Now &now) const;
     void noteLink(std::string_view node, Incarnation incarnation);
 
     // dispatcher_attempts.cpp
@@ -313,6 +314,7 @@
     // Draining.
     bool draining = false;
     bool drainFinished = false;
+    std::int64_t drainBegunUs = 0;
     std::int64_t releaseAtMs = 0;
     std::int64_t releaseDueUs = 0;
     std::int64_t idleSinceUs = -1; // -1: jobs are open
--- a/packages/core/dispatcher_streams.cpp
+++ b/packages/core/dispatcher_streams.cpp
@@ -258,6 +258,7 @@
     if (draining)
         return;
     draining = true;
+    drainBegunUs = step.now.monoUs;
     // No key at or above this issue time was accepted, and none will be: a successor may own them at once.
     releaseAtMs = maxAcceptedIssueMs + 1;
     step.notice(NoticeLevel::Info, "keys",
@@ -282,7 +283,7 @@
     else if (step.now.monoUs >= releaseDueUs)
         appendRelease(step);
 
-    if (jobs.size() > 0 || !forwards.empty() || !attempts.empty()) {
+    if (jobs.size() > 0 || !attempts.empty()) {
         idleSinceUs = -1;
         return;
     }
@@ -296,7 +297,7 @@
     drainDueUs = std::max(idleSinceUs + lingerUs, resumedUs + resumeSettleUs);
     if (step.now.monoUs < drainDueUs)
         return;
-    if (!mayLeave) {
+    if (!mayLeave || !forwards.empty()) {
         drainDueUs = step.now.monoUs + releaseRetryUs;
         return;
     }
--- a/packages/core/dispatcher_submissions.cpp
+++ b/packages/core/dispatcher_submissions.cpp
@@ -44,6 +44,8 @@
         refuse(step, requester, request, Statement::AttemptNotRun, Reason::KeyTooOld);
     } else if (isOwn(owner)) {
         acceptOrRefuse(step, requester, event.wait, std::move(request), true);
+    } else if (owner.coverage == Coverage::Owned && !mayForward(step.now)) {
+        refuse(step, requester, request, Statement::AttemptNotRun, Reason::Draining);
     } else if (owner.coverage == Coverage::Owned) {
         Forward passed;
         passed.kind = SubmitKind::Submit;
@@ -297,6 +299,11 @@
         answerUnknownKey(step, Requester{.caller = caller});
         return;
     }
+    if (!mayForward(step.now)) {
+        ++counters.refusals[static_cast<std::size_t>(Reason::Draining)];
+        reply(step, Requester{.caller = caller}, makeRefusal(Statement::AttemptNotRun, Reason::Draining));
+        return;
+    }
     Forward passed;
     passed.kind = kind;
     passed.caller = caller;
