--- a/packages/core/dispatcher.cpp
+++ b/packages/core/dispatcher.cpp
@@ -7,7 +7,9 @@
 
 namespace {
 
-constexpr int maxDecisionRounds = 16;     // drops may lead to further decisions
+constexpr int maxDecisionRounds = 16;                // drops may lead to further decisions
+constexpr std::int64_t pauseUs = usPerS;             // without events: the process was paused
+constexpr std::int64_t startsHeldUs = 500 * usPerMs; // after a pause
 constexpr std::int64_t minTimerUs = 1000; // a part whose work is bounded by a round continues after this time
 constexpr std::uint64_t requestIdMix = 0x9e3779b97f4a7c15;
 
@@ -67,6 +69,7 @@
 void Dispatcher::handle(Now now, Event &&event, Actions &actions)
 {
     detail::Step step{now, actions};
+    m_state->notePause(step);
     m_state->runDueTimers(step);
     std::visit([&](auto &&alternative) { m_state->on(step, std::move(alternative)); }, std::move(event));
     m_state->settle(step);
@@ -74,6 +77,19 @@
 
 // Timers --------------------------------------------------------------------------------------------
 
+// What has happened during a pause of the process waits in its queues: it must learn first that a backend server is
+// leaving. Without a pause timers are due several times a second.
+void Dispatcher::State::notePause(Step &step)
+{
+    if (lastEventUs >= 0 && step.now.monoUs > lastEventUs + pauseUs) {
+        startsHeldUntilUs = step.now.monoUs + startsHeldUs;
+        step.notice(NoticeLevel::Warning, "jobs",
+                    "no event for a long time, starts are held pause_ms="
+                            + std::to_string((step.now.monoUs - lastEventUs) / usPerMs));
+    }
+    lastEventUs = step.now.monoUs;
+}
+
 void Dispatcher::State::runDueTimers(Step &step)
 {
     if (step.now.monoUs >= timerUs)
@@ -112,7 +128,8 @@
 
 void Dispatcher::State::setTimer(Step &step)
 {
-    std::int64_t next = std::min({timers.nextUs(), scheduler.nextTimerUs(), membership.nextTimerUs()});
+    std::int64_t next =
+            std::min({timers.nextUs(), std::max(scheduler.nextTimerUs(), startsHeldUntilUs), membership.nextTimerUs()});
     if (ownershipAtEnd && !ownershipDown && !draining)
         next = std::min(next, std::max(planner.nextPlanUs(), grantsFromUs));
     if (snapshotDueUs > 0)
@@ -155,6 +172,8 @@
 
 void Dispatcher::State::runDecisions(Step &step)
 {
+    if (step.now.monoUs < startsHeldUntilUs)
+        return;
     for (int round = 0; round < maxDecisionRounds; ++round) {
         decisions.clear();
         scheduler.decide(step.now, decisions);
--- a/packages/core/dispatcher_state.h
+++ b/packages/core/dispatcher_state.h
@@ -184,6 +184,7 @@
     void onPeer(Step &step, const PeerMessageReceived &from, BackendLeaving &&message);
 
     // dispatcher.cpp
+    void notePause(Step &step);
     void runDueTimers(Step &step);
     void settle(Step &step); // what follows from any event: views, grants, decisions, timer
     void runDecisions(Step &step);
@@ -316,7 +317,9 @@
     std::int64_t releaseDueUs = 0;
     std::int64_t idleSinceUs = -1; // -1: jobs are open
 
-    std::int64_t timerUs = INT64_MAX; // requested from the process
+    std::int64_t lastEventUs = -1;      // -1: none yet
+    std::int64_t startsHeldUntilUs = 0; // after a pause of the process
+    std::int64_t timerUs = INT64_MAX;   // requested from the process
 };
 
 } // namespace clementinelift::core
