--- a/packages/core/dispatcher_submissions.cpp
+++ b/packages/core/dispatcher_submissions.cpp
@@ -33,6 +33,11 @@
     JobRequest &request = event.request;
     if (joinKnown(step, requester, event.wait, request))
         return;
+    if (drainFinished) {
+        // The process empties its queues before it exits and waits for nothing that is passed on.
+        refuse(step, requester, request, Statement::AttemptNotRun, Reason::Draining);
+        return;
+    }
     if (!config.isKnown() || !ownershipRead) {
         refuse(step, requester, request, Statement::AttemptNotRun, Reason::NotReady);
         return;
@@ -287,7 +292,7 @@
                                                const Key &key, std::int64_t waitMs)
 {
     const OwnerLookup owner = ownership.find(partitionOf(organisation, key), issueTimeMs(key));
-    if (owner.coverage != Coverage::Owned || isOwn(owner)) {
+    if (owner.coverage != Coverage::Owned || isOwn(owner) || drainFinished) {
         answerUnknownKey(step, Requester{.caller = caller});
         return;
     }
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -252,7 +252,8 @@
     std::string text;
 };
 
-// All jobs have ended and the grants are released; the process may exit.
+// All jobs have ended and the grants are released; the process may exit. It hands over the events that it has read
+// already first: each is answered at once.
 struct DrainFinished
 {};
 
--- a/tests/fuzz/oracle.cpp
+++ b/tests/fuzz/oracle.cpp
@@ -69,6 +69,8 @@
                                  " results"));
         for (std::uint32_t index = 0; index < answer.results.size(); ++index) {
             const std::string prefix = absl::StrCat("result of ", request.id, "/", index, "/");
+            if (answer.results[index].empty())
+                violate("G2", absl::StrCat(request.id, " is complete without result ", index));
             const bool isOwnBody =
                     !request.isSubmit || answer.results[index].rfind(absl::StrCat(prefix, request.body, "/"), 0) == 0;
             if (answer.results[index].rfind(prefix, 0) != 0 || !isOwnBody)
@@ -104,8 +106,10 @@
     const std::size_t starts = ++submission.starts[task.index];
     const std::pair slot{task.index, raw(attempt.incarnation)};
     submission.bodies.insert(task.body);
-    if (submission.repeat == Repeat::Never && starts > 1)
-        violate("G1/G5", absl::StrCat("task ", payload, " started ", starts, " times"));
+    if (submission.repeat == Repeat::Never && starts > 1) {
+        violate("G1", absl::StrCat("task ", payload, " started ", starts, " times"));
+        violate("G5", absl::StrCat("task ", payload, " of a template with repeat = never started again"));
+    }
     if (submission.repeat == Repeat::Never && submission.bodies.size() > 1)
         violate("G1", absl::StrCat("two bodies of ", task.id, " have started"));
     if (++submission.running[slot] > 1)
