Keep the slots of an entry VM that drains

The others dealt its slots among themselves while its tasks still occupied them, got busy answers, used up the retry budget and let jobs pass their deadline with free slots (scenario g7). Membership now tells running entry VMs from live ones.

--- a/packages/core/dispatcher.cpp
+++ b/packages/core/dispatcher.cpp
@@ -154,7 +154,8 @@
 {
     if (membership.viewVersion() != seenView) {
         seenView = membership.viewVersion();
-        scheduler.setPeers(membership.liveInZone(), membership.live(), step.now);
+        // Slots of an entry VM that drains stay with it: its tasks still occupy them.
+        scheduler.setPeers(membership.runningInZone(), membership.running(), step.now);
         reviewAllForwards(step);
     }
     if (config.generation() != seenGeneration) {
--- a/packages/core/membership.cpp
+++ b/packages/core/membership.cpp
@@ -244,6 +244,16 @@
     return m_liveInZone;
 }
 
+std::span<const NodeInfo> Membership::running() const
+{
+    return m_running;
+}
+
+std::span<const NodeInfo> Membership::runningInZone() const
+{
+    return m_runningInZone;
+}
+
 const NodeInfo *Membership::find(std::string_view name) const
 {
     const auto found = m_byName.find(absl::string_view(name.data(), name.size()));
@@ -431,22 +441,28 @@
 
 void Membership::refreshLive()
 {
-    std::vector<NodeInfo> live;
+    std::vector<NodeInfo> running;
     for (const Member &member : m_members) {
-        if (isUp(member.state) && raw(member.node.incarnation) != 0 && !member.node.leaving && !member.isLeavingInList)
-            live.push_back(member.node);
+        if (!isUp(member.state) || raw(member.node.incarnation) == 0)
+            continue;
+        running.push_back(member.node);
+        running.back().leaving = member.node.leaving || member.isLeavingInList;
     }
-    std::sort(live.begin(), live.end(), [](const NodeInfo &a, const NodeInfo &b) { return a.name < b.name; });
+    std::sort(running.begin(), running.end(), [](const NodeInfo &a, const NodeInfo &b) { return a.name < b.name; });
     const auto isSame = [](const NodeInfo &a, const NodeInfo &b) {
-        return a.incarnation == b.incarnation && a.name == b.name && a.address == b.address && a.zone == b.zone;
+        return a.incarnation == b.incarnation && a.name == b.name && a.address == b.address && a.zone == b.zone
+                && a.leaving == b.leaving;
     };
-    if (std::equal(live.begin(), live.end(), m_live.begin(), m_live.end(), isSame))
+    if (std::equal(running.begin(), running.end(), m_running.begin(), m_running.end(), isSame))
         return;
     ++m_viewVersion;
-    m_live = std::move(live);
-    m_liveInZone.clear();
-    std::copy_if(m_live.begin(), m_live.end(), std::back_inserter(m_liveInZone),
-                 [this](const NodeInfo &node) { return node.zone == m_settings.self.zone; });
+    m_running = std::move(running);
+    m_runningInZone = m_running;
+    std::erase_if(m_runningInZone, [this](const NodeInfo &node) { return node.zone != m_settings.self.zone; });
+    m_live = m_running;
+    std::erase_if(m_live, [](const NodeInfo &node) { return node.leaving; });
+    m_liveInZone = m_runningInZone;
+    std::erase_if(m_liveInZone, [](const NodeInfo &node) { return node.leaving; });
 }
 
 // Probes --------------------------------------------------------------------------------------------
--- a/packages/core/membership.h
+++ b/packages/core/membership.h
@@ -57,13 +57,15 @@
     void wantLink(std::string_view name, Now now, Actions &actions);
 
     std::int64_t nextTimerUs() const;
-    std::span<const NodeInfo> live() const;            // alive or suspect, not leaving, own entry VM included; by name
-    std::span<const NodeInfo> liveInZone() const;      // live() in the own availability zone
-    const NodeInfo *find(std::string_view name) const; // null: never heard of
+    std::span<const NodeInfo> live() const;       // alive or suspect, not leaving, own entry VM included; by name
+    std::span<const NodeInfo> liveInZone() const; // live() in the own availability zone
+    std::span<const NodeInfo> running() const;    // live() and those that drain: they keep their slots until they exit
+    std::span<const NodeInfo> runningInZone() const;     // running() in the own availability zone
+    const NodeInfo *find(std::string_view name) const;   // null: never heard of
     const NodeInfo *find(Incarnation incarnation) const; // null: unknown or replaced
     bool isConnected(std::string_view name) const;
     bool isDead(Incarnation incarnation) const; // replaced by a newer incarnation, left or declared dead
-    std::uint64_t viewVersion() const;          // changes whenever live() changes
+    std::uint64_t viewVersion() const;          // changes whenever live() or running() changes
     std::int64_t medianClockErrorMs() const;    // own wall clock minus the median of the peers', 0: no peer
     std::size_t linkCount() const;              // links that this entry VM has asked for
 
@@ -129,6 +131,8 @@
     absl::flat_hash_map<std::string, NodeId> m_byName;
     absl::flat_hash_set<Incarnation> m_ended; // replaced incarnations, bounded
     std::deque<Incarnation> m_endedOrder;
+    std::vector<NodeInfo> m_running;
+    std::vector<NodeInfo> m_runningInZone;
     std::vector<NodeInfo> m_live;
     std::vector<NodeInfo> m_liveInZone;
     std::vector<PendingProbe> m_pending;
