--- a/packages/core/dispatcher_streams.cpp
+++ b/packages/core/dispatcher_streams.cpp
@@ -225,12 +225,13 @@
     membership.onVmList(event.nodes, step.now, step.actions);
 }
 
+// To every linked entry VM, also one that counts as dead: it may have been paused only, and hears nothing when it goes
+// on.
 void Dispatcher::State::announceLeaving(Step &step, const std::string &backend)
 {
-    for (const NodeInfo &node : membership.live()) {
-        const auto link = links.find(node.name);
-        if (link != links.end() && link->second.up)
-            step.act(SendPeer{node.name, BackendLeaving{backend}});
+    for (const auto &[node, link] : links) {
+        if (link.up)
+            step.act(SendPeer{node, BackendLeaving{backend}});
     }
 }
 
