--- a/packages/core/dispatcher.cpp
+++ b/packages/core/dispatcher.cpp
@@ -7,11 +7,11 @@
 
 namespace {
 
-constexpr int maxDecisionRounds = 16;              // drops may lead to further decisions
-constexpr std::int64_t minTimerUs = 1000;          // a part whose work is bounded by a round continues after this time
-constexpr std::int64_t lateTimerUs = 10 * usPerMs; // a timer that is later means that the process was paused
-constexpr std::int64_t longPauseUs = usPerS;
-constexpr std::int64_t holdStartsUs = 100 * usPerMs; // the news of a long pause arrives before anything starts
+constexpr int maxDecisionRounds = 16;                // drops may lead to further decisions
+constexpr std::int64_t pauseUs = usPerS;             // without events: the process was paused
+constexpr std::int64_t startsHeldUs = 500 * usPerMs; // after a pause
+constexpr std::int64_t lateTimerUs = 10 * usPerMs;   // a timer that is later means that the process was paused
+constexpr std::int64_t minTimerUs = 1000; // a part whose work is bounded by a round continues after this time
 constexpr std::uint64_t requestIdMix = 0x9e3779b97f4a7c15;
 
 } // namespace
@@ -70,6 +70,7 @@
 void Dispatcher::handle(Now now, Event &&event, Actions &actions)
 {
     detail::Step step{now, actions};
+    m_state->notePause(step);
     m_state->runDueTimers(step);
     std::visit([&](auto &&alternative) { m_state->on(step, std::forward<decltype(alternative)>(alternative)); },
                std::move(event));
@@ -78,12 +79,23 @@
 
 // Timers --------------------------------------------------------------------------------------------
 
+// What has happened during a pause of the process waits in its queues: it must learn first that a backend server is
+// leaving. Without a pause timers are due several times a second.
+void Dispatcher::State::notePause(Step &step)
+{
+    if (lastEventUs >= 0 && step.now.monoUs > lastEventUs + pauseUs) {
+        startsHeldUntilUs = step.now.monoUs + startsHeldUs;
+        step.notice(NoticeLevel::Warning, "jobs",
+                    "no event for a long time, starts are held pause_ms="
+                            + std::to_string((step.now.monoUs - lastEventUs) / usPerMs));
+    }
+    lastEventUs = step.now.monoUs;
+}
+
 void Dispatcher::State::runDueTimers(Step &step)
 {
     if (timerUs != INT64_MAX && step.now.monoUs >= timerUs + lateTimerUs)
         resumedUs = step.now.monoUs;
-    if (timerUs != INT64_MAX && step.now.monoUs >= timerUs + longPauseUs)
-        holdStartsUntilUs = step.now.monoUs + holdStartsUs;
     if (step.now.monoUs >= timerUs)
         timerUs = INT64_MAX;
     while (timers.isDue(step.now.monoUs)) {
@@ -121,7 +133,7 @@
 void Dispatcher::State::setTimer(Step &step)
 {
     std::int64_t next =
-            std::min({timers.nextUs(), std::max(scheduler.nextTimerUs(), holdStartsUntilUs), membership.nextTimerUs()});
+            std::min({timers.nextUs(), std::max(scheduler.nextTimerUs(), startsHeldUntilUs), membership.nextTimerUs()});
     if (ownershipAtEnd && !ownershipDown && !draining)
         next = std::min(next, std::max(planner.nextPlanUs(), grantsFromUs));
     if (snapshotDueUs > 0)
@@ -146,7 +158,8 @@
 {
     if (membership.viewVersion() != seenView) {
         seenView = membership.viewVersion();
-        scheduler.setPeers(membership.liveInZone(), membership.live(), step.now);
+        // Slots of an entry VM that drains stay with it: its tasks still occupy them.
+        scheduler.setPeers(membership.runningInZone(), membership.running(), step.now);
         reviewAllForwards(step);
     }
     if (config.generation() != seenGeneration) {
@@ -165,7 +178,7 @@
 void Dispatcher::State::runDecisions(Step &step)
 {
     // After a pause the queue of the process may hold a task before the news that its backend server is leaving.
-    if (step.now.monoUs < holdStartsUntilUs)
+    if (step.now.monoUs < startsHeldUntilUs)
         return;
     for (int round = 0; round < maxDecisionRounds; ++round) {
         decisions.clear();
