--- a/packages/dispatcher/backend_client.cpp
+++ b/packages/dispatcher/backend_client.cpp
@@ -47,7 +47,7 @@
         const std::string_view reason = net::findField(result.headers, "X-Not-Started");
         if (reason == "busy")
             ended.outcome = AttemptOutcome::Busy;
-        else if (!reason.empty())
+        else if (reason == "refused")
             ended.outcome = AttemptOutcome::NotStarted;
     }
     return ended;
