--- a/tests/unit/core/dispatcher_race_test.cpp
+++ b/tests/unit/core/dispatcher_race_test.cpp
@@ -424,12 +424,37 @@
     CHECK(cluster.leavingSent.size() <= 6); // each entry VM passes it on once
     // The own list of the receiver still shows the backend server as live.
     cluster.handle(1, VmListRead{cluster.backends, {}});
-    cluster.submit(1, cluster.keyOwnedBy(1), "once");
+    const CallerId refused = cluster.submit(1, cluster.keyOwnedBy(1), "once");
     cluster.advance(1000);
+    CHECK(cluster.answer(refused).reason == Reason::NoBackend);
     CHECK(cluster.starts.empty());
-    // It shows the backend server as leaving and later as live again: a new VM of the same name.
-    cluster.handle(1, VmListRead{leaving, {}});
+    // It leaves the list and comes back: a new VM of the same name.
+    cluster.handle(1, VmListRead{});
     cluster.handle(1, VmListRead{cluster.backends, {}});
+    cluster.submit(1, cluster.keyOwnedBy(1), "once");
     cluster.advance(1000);
     CHECK(cluster.starts.size() == 1);
 }
+
+// Guards against refusing keys of a restarted owner because the link to its predecessor is still up.
+TEST_CASE("a forward to a new incarnation waits for its link")
+{
+    Cluster cluster(2);
+    const NodeInfo old = cluster.nodeInfo(1);
+    const std::int64_t fromMs = cluster.now(0).wallMs + 100000;
+    GrantRecord grant{.node = old.name, .address = old.address, .incarnation = Incarnation(77), .partitions = {}};
+    grant.partitions.set();
+    grant.fromMs = fromMs;
+    grant.toMs = fromMs + 10000;
+    cluster.append(Stream::Ownership, grant);
+    cluster.advance(20);
+    cluster.holdMessages = true;
+    const CallerId caller = cluster.submit(0, makeKey(fromMs + 1, 1, 1), "once");
+    cluster.advance(500);
+    CHECK(cluster.answerCount(caller) == 0);
+    CHECK(cluster.heldCount<SubmitForward>() == 0);
+    NodeInfo restarted = old;
+    restarted.incarnation = Incarnation(77);
+    cluster.handle(0, PeerConnected{restarted});
+    CHECK(cluster.heldCount<SubmitForward>() == 1);
+}
