--- a/packages/ctl/command_support.h
+++ b/packages/ctl/command_support.h
@@ -31,7 +31,8 @@
     // A message for people, in both modes.
     template <typename... Parts> void warn(const Parts &...parts)
     {
-        (m_err << "clementinelift-ctl: " << ... << parts) << "\n";
+        m_err << "clementinelift-ctl: ";
+        (m_err << ... << parts) << "\n";
     }
 
     void finish(ExitCode code);
