Bound the configuration by the size of a message

An entry may have 64 KiB, all entries 4 MiB; a change beyond that is invalid by the same rule everywhere, and max_frame_bytes is at least 5 MiB. Outcomes keep at most 20 findings.

--- a/packages/config/entries.cpp
+++ b/packages/config/entries.cpp
@@ -121,6 +121,10 @@
     if (!core::isEntryName(name))
         return tl::make_unexpected(
                 core::Findings{{std::string(name), 0, "", "entry name must be template/NAME or organisation/NAME"}});
+    if (text.size() > maxEntryBytes)
+        return tl::make_unexpected(
+                core::Findings{{std::string(name), 0, "",
+                                absl::StrCat("text has ", text.size(), " bytes, ", maxEntryBytes, " are allowed")}});
     IniFile file = readIni(name, text);
     core::Findings findings = std::move(file.findings);
     for (const IniSection &section : file.sections) {
--- a/packages/config/entries.h
+++ b/packages/config/entries.h
@@ -11,6 +11,8 @@
 
 // parseEntry ----------------------------------------------------------------------------------------
 
+constexpr std::size_t maxEntryBytes = std::size_t{64} << 10; // of the text of one entry
+
 // Fields without section header. name is "template/NAME" or "organisation/NAME"; missing fields keep their default.
 // Pure function, usable as core::ParseEntry. Findings carry the entry name as file and the line in the text.
 tl::expected<core::ParsedEntry, core::Findings> parseEntry(std::string_view name, std::string_view text);
--- a/packages/config/settings.cpp
+++ b/packages/config/settings.cpp
@@ -33,6 +33,9 @@
 constexpr std::uint64_t mib = 1024 * kib;
 constexpr std::uint64_t gib = 1024 * mib;
 
+// A message has room for a snapshot of the largest configuration.
+constexpr std::uint32_t minFrameBytes = core::Configuration::stateByteLimit + mib;
+
 bool isName(std::string_view text)
 {
     const auto isAllowed = [](char c) {
@@ -171,7 +174,7 @@
     reader.readNumber<std::uint32_t>("max_header_bytes", settings.maxHeaderBytes, kib, mib);
     reader.readNumber<std::uint32_t>("max_connections", settings.maxConnections, 1, 1000000);
     reader.readNumber<std::uint32_t>("max_tasks", settings.maxTasks, 1, 10000);
-    reader.readNumber<std::uint32_t>("max_frame_bytes", settings.maxFrameBytes, 64 * kib, gib);
+    reader.readNumber<std::uint32_t>("max_frame_bytes", settings.maxFrameBytes, minFrameBytes, gib);
     reader.readNumber<std::uint32_t>("max_queued_tasks", core.maxQueuedTasks, 1, 10000000);
     reader.readNumber<std::uint32_t>("max_remembered_keys", core.maxRememberedKeys, 1, 100000000);
     reader.readNumber<std::uint64_t>("max_answer_bytes", core.maxAnswerBytes, mib, 64 * gib);
--- a/packages/core/configuration.cpp
+++ b/packages/core/configuration.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t recordOverheadBytes = 128; // counted for each record beside its texts
+constexpr std::size_t recordOverheadBytes = 128; // counted for each record and entry beside its texts
 
 // Abseil of Debian is built for C++14 and has a string_view of its own.
 absl::string_view toAbsl(std::string_view text)
@@ -26,12 +26,19 @@
 {
     std::size_t bytes = recordOverheadBytes;
     if (const auto *change = std::get_if<ChangeRecord>(&record.body)) {
+        bytes += change->changeId.size() + change->author.size();
         for (const ConfigEntryChange &entry : change->entries)
             bytes += recordOverheadBytes + entry.name.size() + entry.text.size();
     }
     return bytes;
 }
 
+// Upper bound of the encoded size of an entry in a snapshot.
+std::size_t byteCount(const ConfigEntry &entry)
+{
+    return recordOverheadBytes + entry.name.size() + entry.author.size() + entry.changeId.size() + entry.text.size();
+}
+
 bool isNameCharacter(char c)
 {
     return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_'
@@ -171,6 +178,10 @@
     }
 
     outcome.findings = checkShape(change);
+    if (const std::size_t bytes = stateBytesAfter(change); bytes > stateByteLimit)
+        outcome.findings.push_back(
+                {"", 0, "",
+                 absl::StrCat("all entries together would have ", bytes, " bytes, ", stateByteLimit, " are allowed")});
     for (const ConfigEntryChange &changed : change.entries) {
         if (changed.text.empty() || !isEntryName(changed.name)) {
             parsed.emplace_back(); // not used
@@ -184,12 +195,26 @@
     }
     if (!outcome.findings.empty())
         outcome.verdict = ChangeVerdict::Invalid;
+    if (outcome.findings.size() > findingLimit)
+        outcome.findings.resize(findingLimit);
     return outcome;
 }
 
+std::size_t Configuration::stateBytesAfter(const ChangeRecord &change) const
+{
+    std::size_t bytes = m_stateBytes;
+    for (const ConfigEntryChange &changed : change.entries) {
+        const ConfigEntry *current = entry(changed.name);
+        bytes += byteCount(ConfigEntry{changed.name, 0, change.author, change.changeId, changed.text});
+        bytes -= current ? byteCount(*current) : 0;
+    }
+    return bytes;
+}
+
 void Configuration::accept(const ChangeRecord &change, std::int64_t offset, const std::vector<ParsedEntry> &parsed)
 {
     assert(parsed.size() == change.entries.size());
+    m_stateBytes = stateBytesAfter(change);
     for (std::size_t i = 0; i < change.entries.size(); ++i) {
         const ConfigEntryChange &changed = change.entries[i];
         assert(offset + 1 > changed.baseVersion);
@@ -237,7 +262,9 @@
 {
     if (snapshot.nextOffset <= m_nextOffset || contradicts(snapshot))
         return false;
+    m_stateBytes = 0;
     for (const ConfigEntry &entry : snapshot.entries) {
+        m_stateBytes += byteCount(entry);
         ConfigEntry &current = m_entries[entry.name];
         if (current.version == entry.version)
             continue;
--- a/packages/core/configuration.h
+++ b/packages/core/configuration.h
@@ -54,9 +54,13 @@
 {
 public:
     static constexpr std::size_t historyLimit = 256;                       // outcomes kept
+    static constexpr std::size_t findingLimit = 20;                        // kept of one outcome
     static constexpr std::size_t recentRecordLimit = 2048;                 // records kept for peers
-    static constexpr std::size_t recentByteLimit = std::size_t{4} << 20;   // of the texts in these records
-    static constexpr std::size_t answerByteLimit = std::size_t{256} << 10; // of the texts in one answer to a peer
+    static constexpr std::size_t recentByteLimit = std::size_t{4} << 20;   // of these records
+    static constexpr std::size_t answerByteLimit = std::size_t{256} << 10; // of the records in one answer to a peer
+
+    // Of all entries, deleted ones included. A change beyond it is invalid, so that a snapshot fits into a message.
+    static constexpr std::size_t stateByteLimit = std::size_t{4} << 20;
 
     // parseEntry must be a pure function, it decides which changes are valid.
     explicit Configuration(ParseEntry parseEntry);
@@ -121,6 +125,7 @@
 
     ChangeOutcome judge(const ChangeRecord &change, std::int64_t offset, std::vector<ParsedEntry> &parsed) const;
     void accept(const ChangeRecord &change, std::int64_t offset, const std::vector<ParsedEntry> &parsed);
+    std::size_t stateBytesAfter(const ChangeRecord &change) const;
     void setParameters(std::string_view name, const ParsedEntry *parsed);
     void remember(ChangeOutcome &&outcome);
     void keepForPeers(const LogRecord &record);
@@ -131,6 +136,7 @@
     bool m_known = false;
     std::uint64_t m_generation = 0;
     std::map<std::string, ConfigEntry, std::less<>> m_entries;
+    std::size_t m_stateBytes = 0;
     Table<TemplateParameters, TemplateId> m_templates;
     Table<OrganisationParameters, OrganisationId> m_organisations;
     std::deque<ChangeOutcome> m_history;
--- a/tests/unit/config/settings_test.cpp
+++ b/tests/unit/config/settings_test.cpp
@@ -34,7 +34,7 @@
             "[platform]\nlog_url = http://127.0.0.1:8001/\nvm_list_url = http://127.0.0.1:8002\nvm_list_interval_ms = "
             "250\n"
             "[limits]\nmax_body_bytes = 2048\nmax_header_bytes = 2049\nmax_connections = 5\nmax_tasks = 6\n"
-            "max_frame_bytes = 100000\nmax_queued_tasks = 7\nmax_remembered_keys = 8\nmax_answer_bytes = 1048577\n"
+            "max_frame_bytes = 6000000\nmax_queued_tasks = 7\nmax_remembered_keys = 8\nmax_answer_bytes = 1048577\n"
             "trace_jobs = 9\nsnapshot_every = 10\n"
             "[timing]\ngrant_ahead_ms = 9000\ngrant_extend_ms = 1001\ndedupe_horizon_ms = 20000\n"
             "max_progress_step_ms = 9501\nfuture_skew_ms = 1002\ndrain_linger_ms = 1003\nprobe_interval_ms = 104\n"
@@ -60,7 +60,7 @@
     CHECK(settings->maxHeaderBytes == 2049);
     CHECK(settings->maxConnections == 5);
     CHECK(settings->maxTasks == 6);
-    CHECK(settings->maxFrameBytes == 100000);
+    CHECK(settings->maxFrameBytes == 6000000);
     CHECK(settings->core.maxQueuedTasks == 7);
     CHECK(settings->core.maxRememberedKeys == 8);
     CHECK(settings->core.maxAnswerBytes == 1048577);
@@ -103,7 +103,8 @@
             {"[limits]\nmax_body_bytes = 1023", "limits.max_body_bytes"},
             {"[limits]\nmax_body_bytes = 8 MB", "limits.max_body_bytes"},
             {"[limits]\nmax_body_bytes = 16777216", "limits.max_body_bytes"},
-            {"[limits]\nmax_frame_bytes = 100000", "limits.max_frame_bytes"},
+            {"[limits]\nmax_frame_bytes = 5000000", "limits.max_frame_bytes"},
+            {"[limits]\nmax_body_bytes = 1024\nmax_frame_bytes = 5242879", "limits.max_frame_bytes"},
             {"[limits]\nmax_header_bytes = 0", "limits.max_header_bytes"},
             {"[limits]\nmax_connections = 0", "limits.max_connections"},
             {"[limits]\nmax_tasks = 10001", "limits.max_tasks"},
--- a/tests/unit/core/configuration_test.cpp
+++ b/tests/unit/core/configuration_test.cpp
@@ -465,3 +465,24 @@
     CHECK(configuration.recordsSinceSnapshot() == 1);
     CHECK(configuration.snapshotTimeMs() == 77777);
 }
+
+// Guards against a configuration that no message between entry VMs can carry.
+TEST_CASE("the size of all entries is bounded")
+{
+    Configuration configuration(config::parseEntry);
+    const std::string text = "run_ms = 5\n;" + std::string(60000, 'x');
+    std::int64_t offset = 0;
+    for (; offset < 100; ++offset)
+        configuration.apply(makeChange(offset, "c", {{"template/a" + std::to_string(offset), 0, text}}));
+    CHECK(configuration.history().back().verdict == ChangeVerdict::Invalid);
+    const std::size_t count = configuration.entries().size();
+    CHECK(count == Configuration::stateByteLimit / 60200);
+
+    Configuration copy(config::parseEntry);
+    copy.apply(configuration.snapshot());
+    for (Configuration *fold : {&configuration, &copy}) {
+        fold->apply(makeChange(offset, "c", {{"template/a1", 2, ""}}));
+        fold->apply(makeChange(offset + 1, "c", {{"template/b", 0, text}}));
+        CHECK(fold->entries().size() == count + 1);
+    }
+}
