Let the simulated callers use ready entry VMs only, as the load balancer does

A stopping entry VM refuses new keys; callers that keep sending to it measure the missing load balancer, not the dispatcher.

--- a/tests/standins/load.cpp
+++ b/tests/standins/load.cpp
@@ -26,6 +26,7 @@
 constexpr std::size_t auditBatch = 1'000; // jobs asked for in one request
 constexpr std::int64_t auditTimeoutMs = 10'000;
 constexpr std::int64_t keysTimeoutMs = 1'000;
+constexpr std::int64_t healthTimeoutMs = 500;
 constexpr std::int64_t cancelTimeoutMs = 5'000;
 
 std::int64_t monotonicUs()
@@ -158,6 +159,14 @@
                               });
                           });
         }
+        for (const HealthRequest &request : requests.healthChecks) {
+            m_client.send({.url = url(request.entryVm, "/readyz"), .timeoutMs = healthTimeoutMs},
+                          [this, request](net::HttpResult &&result) {
+                              post([this, request, ready = result.status == 200] {
+                                  m_oracle.handleHealth(request.entryVm, ready);
+                              });
+                          });
+        }
         for (const CancelRequest &request : requests.cancels) {
             const LoadJob &job = m_oracle.job(request.job);
             const std::string name =
--- a/tests/standins/load_oracle.h
+++ b/tests/standins/load_oracle.h
@@ -81,8 +81,14 @@
     std::uint32_t count = 0;
 };
 
+struct HealthRequest
+{
+    std::size_t entryVm = 0;
+};
+
 struct LoadRequests
 {
+    std::vector<HealthRequest> healthChecks;
     std::vector<SubmitRequest> submits;
     std::vector<CancelRequest> cancels;
     std::vector<KeysRequest> keys;
@@ -164,6 +170,9 @@
     // Everything that is due now.
     LoadRequests advance(std::int64_t nowUs, std::int64_t wallMs);
     void handleReply(JobIndex job, std::uint32_t attempt, const Reply &reply, std::int64_t nowUs);
+    // Like the platform's load balancer, callers use only entry VMs that were ready at the last check, if there are
+    // any.
+    void handleHealth(std::size_t entryVm, bool ready) { m_ready[entryVm] = ready; }
     void handleKeys(const KeysRequest &request, const std::vector<core::Key> &keys);
 
     bool isDone() const { return m_open == 0 && m_nextArrival == m_jobs.size(); }
@@ -203,6 +212,8 @@
     std::size_t m_firstOpen = 0; // all jobs before it have ended
     std::size_t m_open = 0;
     std::vector<std::int64_t> m_waves; // descending
+    std::vector<bool> m_ready;         // of each entry VM
+    std::int64_t m_nextHealthUs = 0;
     std::map<std::string, std::vector<SpareKey>> m_spareKeys;
     std::map<std::string, bool> m_keysRequested;
     std::map<std::string, std::uint32_t> m_reasons;
