--- a/tests/process/cluster.sh
+++ b/tests/process/cluster.sh
@@ -12,6 +12,7 @@
 declare -A pids caller_address peer_address zone_of
 organisations=north,south,west
 templates=reorder:never,quote:allowed
+seed=${SEED:-1} # of the stand-ins and the callers
 
 now_ms() { date +%s%3N; }
 
@@ -169,7 +170,7 @@
         done
     done
     "$bin/clementinelift-standins" serve --port-file="$run_dir/port" --zones="$zones" \
-        --entry="$(IFS=';'; echo "${entries[*]}")" "$@" >"$run_dir/standins.log" 2>&1 &
+        --seed="$seed" --entry="$(IFS=';'; echo "${entries[*]}")" "$@" >"$run_dir/standins.log" 2>&1 &
     pids[standins]=$!
     wait_until 10 test -s "$run_dir/port" || fail "the stand-ins did not start: $(cat "$run_dir/standins.log")"
     platform=127.0.0.1:$(cat "$run_dir/port")
@@ -197,7 +198,7 @@
 start_load()
 {
     "$bin/clementinelift-standins" load --platform="$platform" --to="$(targets)" --organisations="$organisations" \
-        --templates="$templates" "$@" >"$run_dir/load.txt" 2>&1 &
+        --templates="$templates" --seed="$seed" "$@" >"$run_dir/load.txt" 2>&1 &
     pids[load]=$!
 }
 
--- a/tests/standins/load_oracle.cpp
+++ b/tests/standins/load_oracle.cpp
@@ -272,7 +272,7 @@
             : reply.kind == ReplyKind::RefusedNotRun   ? "refused, not_run: "
             : reply.kind == ReplyKind::RefusedAttempt  ? "refused, attempt_not_run: "
                                                        : "rejected: ";
-    ++m_reasons[kind + reply.reason];
+    ++m_reasons[kind + reply.reason + " (" + m_options.templates[job.templateIndex].name + ")"];
     m_rejected += reply.kind == ReplyKind::Rejected ? 1 : 0;
 }
 
