--- a/tests/standins/log_service.cpp
+++ b/tests/standins/log_service.cpp
@@ -45,8 +45,10 @@
 std::optional<ReadResult> LogService::read(std::string_view stream, std::int64_t from, std::size_t max,
                                            std::int64_t nowUs, std::int64_t wallMs)
 {
-    if (isOut(nowUs))
+    if (isOut(nowUs)) {
+        ++m_counts.refusedInOutage;
         return std::nullopt;
+    }
     ++m_counts.reads;
     ReadResult result;
     const auto found = m_streams.find(stream);
--- a/tests/standins/log_service.h
+++ b/tests/standins/log_service.h
@@ -57,7 +57,7 @@
 {
     std::uint64_t appended = 0;
     std::uint64_t overLimit = 0;
-    std::uint64_t refusedInOutage = 0;
+    std::uint64_t refusedInOutage = 0; // appends and reads
     std::uint64_t answersLost = 0;
     std::uint64_t reads = 0;
 };
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -148,7 +148,7 @@
 {
     m_backendServers.resize(m_pool.size());
     for (std::size_t i = 0; i < m_pool.size(); ++i) {
-        if (const auto listening = listen(i); !listening)
+        if (auto listening = listen(i); !listening)
             return listening;
         const BackendSpec &spec = m_pool.spec(i);
         m_list.put({spec.name, true, spec.address, spec.zone, spec.rack, false, spec.slots, spec.connections,
