Leave the fastest slots to short tasks

Cause: 2% of the tasks are a third of the work and held the fastest slots, so that the median task found slower ones. Change: a task longer than the mean takes the slot next to what is usually the fastest free one; the target of the wasted messages is 4%.

--- a/packages/core/basic_scheduler.h
+++ b/packages/core/basic_scheduler.h
@@ -30,7 +30,7 @@
 constexpr double grantedRate = 0.1;     // of the smoothed share of granted requests
 constexpr double grantedForget = 0.005; // with each report, so that a peer that refused is asked again
 constexpr double leastGain = -9;
-constexpr double wastedTarget = 0.03;   // of the messages
+constexpr double wastedTarget = 0.04;   // of the messages
 constexpr double priceStep = 0.05;      // of the logarithm for each message above the target
 constexpr double minLogPrice = 6;       // 0.4 ms
 constexpr double maxLogPrice = 16;      // 9 s
@@ -41,6 +41,9 @@
 constexpr double minPriceScale = 0.1;
 constexpr std::int64_t relaxEveryUs = 500 * usPerMs;
 constexpr std::int64_t busyBlockUs = 30 * usPerMs;
+constexpr double longTask = 1;          // length over the mean from which on the fastest slots are left to others
+constexpr double longTaskPower = 0.3;   // of the length
+constexpr double maxLongTaskFactor = 1.6; // over the usual fastest free slot
 constexpr double borrowCostUs = 5.0 * usPerMs; // price of the messages of a borrow at response weight 0.5
 constexpr double hopelessShare = 0.25;   // of the expected time: less than this left means that the task cannot finish
 constexpr double certainWaitShare = 0.7; // of the expected wait counts at admission
@@ -131,6 +134,7 @@
     Step placeNext(Now now, Decisions &decisions, std::vector<FairQueue::Place> &skipped);
     bool mayStart(const FairQueue::Place &place, Now now);
     bool dropHopeless(const FairQueue::Place &place, Now now);
+    std::optional<BackendId> chooseOwn(const TaskShape &shape);
     Step placeOnSlots(const FairQueue::Place &place, Now now, Decisions &decisions,
                       std::vector<FairQueue::Place> &skipped);
     void startNext(const FairQueue::Place &place, BackendId backend, Now now, Decisions &decisions);
--- a/packages/core/basic_scheduler_impl.h
+++ b/packages/core/basic_scheduler_impl.h
@@ -604,6 +604,19 @@
     return Step::Again;
 }
 
+// Long tasks leave the fastest slots to short ones: a fast slot serves many short tasks in the time of a long one, and each
+// of them gains as much relative to its ideal. They take the slot next to what is usually the fastest free one.
+template <SlotPolicy P> std::optional<BackendId> BasicScheduler<P>::chooseOwn(const TaskShape &shape)
+{
+    const double length = m_model.baseUs(shape) / m_model.meanBaseUs();
+    if (length > detail::longTask) {
+        const double spare = std::min(std::pow(length / detail::longTask, detail::longTaskPower), detail::maxLongTaskFactor);
+        if (const auto slot = m_pool.slowestFree(factorBucket(std::exp(m_logOffer) * spare), shape))
+            return slot;
+    }
+    return m_policy.choose(m_pool, m_model, shape, m_random);
+}
+
 // Compares the expected finish on the best free slot, on a borrowed one, and on a faster slot that is about to be
 // freed.
 template <SlotPolicy P>
@@ -613,7 +626,7 @@
 {
     const auto &job = m_jobs.at(place.job);
     const TaskShape shape = shapeOf(job, job.tasks[job.queued.back()]);
-    const auto own = m_policy.choose(m_pool, m_model, shape, m_random);
+    const auto own = chooseOwn(shape);
     const double ownUs = own ? m_model.expectedPerSuccessUs(shape, *own) : 0;
     const double weight = std::clamp(organisation(job).parameters.responseWeight, 0.0, 1.0);
     if (own) {
--- a/packages/core/routing.cpp
+++ b/packages/core/routing.cpp
@@ -255,6 +255,15 @@
         link(id);
 }
 
+std::optional<BackendId> SlotPool::slowestFree(std::uint32_t bucket, const TaskShape &shape) const
+{
+    for (std::uint32_t i = bucket + 1; i-- > 0;)
+        for (const BackendId id : m_free[i])
+            if (fits(shape, m_backends[raw(id)].info))
+                return id;
+    return std::nullopt;
+}
+
 SlotPool::Faster SlotPool::fasterThan(std::uint32_t bucket) const
 {
     Faster faster;
--- a/packages/core/routing.h
+++ b/packages/core/routing.h
@@ -147,6 +147,9 @@
         }
     }
 
+    // The slowest free backend server in a bucket up to this one that is large enough.
+    std::optional<BackendId> slowestFree(std::uint32_t bucket, const TaskShape &shape) const;
+
     // Completions per base time of all held slots in faster buckets, and their mean factor per completion.
     struct Faster
     {
