Learn the chance of a grant by the free slots of the peer, and count all wasted messages in the price

Cause: a request to a peer with few free slots is refused more often than the gain alone tells. Change: chances are learned for few, some and many free slots; failed attempts and probes raise the price of refusals too.

--- a/packages/core/basic_scheduler_impl.h
+++ b/packages/core/basic_scheduler_impl.h
@@ -433,6 +433,8 @@
         m_queue.unblock(job.place.organisation);
     m_dirty = true;
 
+    if (outcome != AttemptOutcome::Completed)
+        countSlotMessages(0, 1);
     if (outcome == AttemptOutcome::Completed) {
         endTask(ref.job, job, task);
         return NextStep::Done;
@@ -497,6 +499,8 @@
     for (const BackendId id : probes)
         decisions.probes.push_back({id});
     m_counters.probes += probes.size();
+    if (!probes.empty())
+        countSlotMessages(static_cast<double>(probes.size()), static_cast<double>(probes.size()));
     append(decisions.messages, m_outbox);
     append(decisions.drops, m_drops);
     append(decisions.notices, m_notices);
@@ -604,13 +608,14 @@
     return Step::Again;
 }
 
-// Long tasks leave the fastest slots to short ones: a fast slot serves many short tasks in the time of a long one, and each
-// of them gains as much relative to its ideal. They take the slot next to what is usually the fastest free one.
+// Long tasks leave the fastest slots to short ones: a fast slot serves many short tasks in the time of a long one, and
+// each of them gains as much relative to its ideal. They take the slot next to what is usually the fastest free one.
 template <SlotPolicy P> std::optional<BackendId> BasicScheduler<P>::chooseOwn(const TaskShape &shape)
 {
     const double length = m_model.baseUs(shape) / m_model.meanBaseUs();
     if (length > detail::longTask) {
-        const double spare = std::min(std::pow(length / detail::longTask, detail::longTaskPower), detail::maxLongTaskFactor);
+        const double spare =
+                std::min(std::pow(length / detail::longTask, detail::longTaskPower), detail::maxLongTaskFactor);
         if (const auto slot = m_pool.slowestFree(factorBucket(std::exp(m_logOffer) * spare), shape))
             return slot;
     }
@@ -688,10 +693,13 @@
 
 namespace detail {
 
-inline std::uint32_t gainRange(double ratio)
+inline std::uint32_t gainRange(double ratio, std::uint32_t freeSlots)
 {
-    constexpr std::array<double, gainRanges - 1> bounds = {0.8, 1.0, 1.25, 1.6, 2.2};
-    return static_cast<std::uint32_t>(std::upper_bound(bounds.begin(), bounds.end(), ratio) - bounds.begin());
+    constexpr std::array<double, 5> ratios = {0.8, 1.0, 1.25, 1.6, 2.2};
+    constexpr std::array<std::uint32_t, 2> frees = {5, 15};
+    const auto row = std::upper_bound(ratios.begin(), ratios.end(), ratio) - ratios.begin();
+    const auto column = std::upper_bound(frees.begin(), frees.end(), freeSlots) - frees.begin();
+    return static_cast<std::uint32_t>(row * 3 + column);
 }
 
 } // namespace detail
@@ -712,7 +720,7 @@
         if (peer.freeSlots == 0 || peer.bestFactor <= 0 || now.monoUs - peer.reportUs > detail::reportStaleUs)
             continue;
         const double offerUs = declaredBase * peer.bestFactor;
-        const std::uint32_t range = detail::gainRange(aloneUs / offerUs);
+        const std::uint32_t range = detail::gainRange(aloneUs / offerUs, peer.freeSlots);
         const double share = peer.granted[range];
         // A granted slot is faster than asked for; where it was expected to be slower, half of the difference is
         // assumed.
@@ -739,8 +747,7 @@
     m_outbox.push_back({std::string(node), std::move(message)});
 }
 
-template <SlotPolicy P>
-void BasicScheduler<P>::requestSlot(const FairQueue::Place &place, const Offer &offer, Now now)
+template <SlotPolicy P> void BasicScheduler<P>::requestSlot(const FairQueue::Place &place, const Offer &offer, Now now)
 {
     auto &job = m_jobs.at(place.job);
     const std::uint32_t index = takeTask(job);
--- a/packages/core/slots.h
+++ b/packages/core/slots.h
@@ -58,8 +58,17 @@
 
 // Peers ---------------------------------------------------------------------------------------------
 
-// Ranges of the time on an own slot over the reported time on a peer's: the peer's answers are learned for each one.
-constexpr std::uint32_t gainRanges = 6;
+// Ranges of the time on an own slot over the reported time on a peer's, each for few, some and many free slots there:
+// the peer's answers are learned for each one.
+constexpr std::uint32_t gainRanges = 18;
+
+constexpr std::array<double, gainRanges> evenChances()
+{
+    std::array<double, gainRanges> chances{};
+    for (double &chance : chances)
+        chance = 0.5;
+    return chances;
+}
 
 struct PeerHeadroom
 {
@@ -68,9 +77,9 @@
     std::uint32_t freeSlots = 0; // of the last report, less what was asked for since
     double bestFactor = 0;       // time per success over declared time, of the fastest free slot
     std::int64_t reportUs = -1;  // -1: none yet
-    std::array<double, gainRanges> granted{0.5, 0.5, 0.5, 0.5, 0.5, 0.5}; // smoothed share of requests, by range
-    double grantedHeld = 0.5; // the same for requests that may be held, see HeldRequest
-    std::uint32_t held = 0;   // such requests in progress
+    std::array<double, gainRanges> granted = evenChances(); // smoothed share of requests, by range
+    double grantedHeld = 0.5;                               // the same for requests that may be held, see HeldRequest
+    std::uint32_t held = 0;                                 // such requests in progress
 };
 
 // Loans ---------------------------------------------------------------------------------------------
