--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -518,9 +518,22 @@
             serviceUs *= fails ? fault->failAfter : fault->slowdown;
         }
         attempt.serviceUs = static_cast<std::uint32_t>(serviceUs);
+        endAtLease(attempt);
         push(m_nowUs + attempt.serviceUs, Kind::Finish, index, 0);
     }
 
+    // The backend server stops a task whose lease, the deadline of its job, is over.
+    void endAtLease(Attempt &attempt) const
+    {
+        const SimJob &job = m_work.jobs[raw(attempt.task.job)];
+        const std::int64_t deadlineMs = m_configuration.parameters(TemplateId(job.templateId)).deadlineMs;
+        const std::int64_t leaseEndUs = job.atUs + deadlineMs * usPerMs;
+        if (attempt.startUs + attempt.serviceUs <= leaseEndUs)
+            return;
+        attempt.outcome = AttemptOutcome::Failed;
+        attempt.serviceUs = static_cast<std::uint32_t>(std::max<std::int64_t>(0, leaseEndUs - attempt.startUs));
+    }
+
     // Decides whether an attempt fails, the same for every policy that makes the same attempt.
     double luck(const Attempt &attempt) const
     {
@@ -542,7 +555,8 @@
             attempt.outcome = fails ? AttemptOutcome::Failed : AttemptOutcome::Completed;
             attempt.serviceUs =
                     static_cast<std::uint32_t>(doneUs + leftUs * (fails ? fault.failAfter : fault.slowdown));
-            push(attempt.startUs + attempt.serviceUs, Kind::Finish, i, ++m_versions[i]);
+            endAtLease(attempt);
+            push(std::max(m_nowUs, attempt.startUs + attempt.serviceUs), Kind::Finish, i, ++m_versions[i]);
         }
     }
 
