Let the response weight bound the share of wasted messages

Cause: the price of refusals filled the same share of wasted messages whatever the response weight was. Change: each message adds to the budget what the response weight of its organisation allows (0.2% at 0, 4.2% from 0.5 on).

--- a/packages/core/basic_scheduler.h
+++ b/packages/core/basic_scheduler.h
@@ -30,10 +30,12 @@
 constexpr double grantedRate = 0.1;     // of the smoothed share of granted requests
 constexpr double grantedForget = 0.005; // with each report, so that a peer that refused is asked again
 constexpr double leastGain = -9;
-constexpr double wastedTarget = 0.04; // of the messages
-constexpr double priceStep = 0.05;    // of the logarithm for each message above the target
-constexpr double minLogPrice = 6;     // 0.4 ms
-constexpr double maxLogPrice = 16;    // 9 s
+constexpr double leastWasted = 0.002;    // target for the share of wasted messages at response weight 0
+constexpr double wastedPerWeight = 0.08; // added for each unit of response weight
+constexpr double mostWasted = 0.042;     // the rest up to 5% is left to failures that nobody chooses
+constexpr double priceStep = 0.05;       // of the logarithm for each message above the target
+constexpr double minLogPrice = 6;        // 0.4 ms
+constexpr double maxLogPrice = 16;       // 9 s
 constexpr std::uint32_t maxHeldRequests = 6;
 constexpr std::int64_t heldTimeoutUs = 12 * usPerMs; // for which a peer holds a request for any slot
 constexpr double noSlotGapUs = 100.0 * usPerMs;      // gain by one slot where no own one works
@@ -144,7 +146,7 @@
     void endHeld(const OpenRequest &request, bool granted);
     void lend(const LoanKey &key, const TaskShape &shape, BackendId backend, Now now);
     void serveHeld(Now now);
-    void countSlotMessages(double sent, double wasted);
+    void countSlotMessages(double sent, double wasted, double weight = 0);
     void requestSlot(const FairQueue::Place &place, const Offer &offer, Now now);
     void returnUnused(std::uint64_t request, const std::string &node);
     void send(std::string_view node, PeerMessage message);
--- a/packages/core/basic_scheduler_impl.h
+++ b/packages/core/basic_scheduler_impl.h
@@ -500,7 +500,7 @@
         decisions.probes.push_back({id});
     m_counters.probes += probes.size();
     if (!probes.empty())
-        countSlotMessages(static_cast<double>(probes.size()), static_cast<double>(probes.size()));
+        countSlotMessages(0, static_cast<double>(probes.size()));
     append(decisions.messages, m_outbox);
     append(decisions.drops, m_drops);
     append(decisions.notices, m_notices);
@@ -678,7 +678,7 @@
         ++m_counters.firstAttempts;
     }
     m_counters.slotsBorrowed += request != 0 ? 1 : 0;
-    countSlotMessages(request != 0 ? 3 : 1, 0); // with the grant and the return
+    countSlotMessages(request != 0 ? 4 : 1, 0, owner.parameters.responseWeight); // with request, grant and return
     owner.limiter.onStart();
     m_breakers.onStart(backend, now.monoUs);
     updateBackend(backend, now.monoUs, [&](BackendSlots &slots) {
@@ -735,11 +735,13 @@
     return best;
 }
 
-// Each refusal raises the price of a refusal, each other message lowers it, so that their share settles at the target.
-template <SlotPolicy P> void BasicScheduler<P>::countSlotMessages(double sent, double wasted)
+// Each wasted message raises the price of a refusal, each message of a task lowers it by the share that the
+// organisation's response weight allows, so that the share of wasted messages settles there.
+template <SlotPolicy P> void BasicScheduler<P>::countSlotMessages(double sent, double wasted, double weight)
 {
-    m_logPrice = std::clamp(m_logPrice + detail::priceStep * (wasted - detail::wastedTarget * sent),
-                            detail::minLogPrice, detail::maxLogPrice);
+    const double allowed = std::min(detail::leastWasted + detail::wastedPerWeight * weight, detail::mostWasted);
+    m_logPrice = std::clamp(m_logPrice + detail::priceStep * (wasted - allowed * sent), detail::minLogPrice,
+                            detail::maxLogPrice);
 }
 
 template <SlotPolicy P> void BasicScheduler<P>::send(std::string_view node, PeerMessage message)
@@ -761,7 +763,6 @@
     m_requests[id] = OpenRequest{offer.node, TaskRef{place.job, index}, offer.range};
     --m_peers.at(offer.node).freeSlots;
     ++m_counters.slotRequests;
-    countSlotMessages(1, 0);
     send(offer.node,
          SlotRequest{id, std::string(m_configuration.name(job.templateId)), task.cores, task.memoryMb,
                      bound < 4e9 ? static_cast<std::uint32_t>(bound) : 0});
@@ -789,7 +790,6 @@
         m_requests[id] = OpenRequest{name, {}, 0, true, false};
         ++peer.held;
         ++m_counters.slotRequests;
-        countSlotMessages(1, 0);
         send(name,
              SlotRequest{id, std::string(m_configuration.name(shape.templateId)), shape.cores, shape.memoryMb, 0});
         setAlarm(now.monoUs + detail::heldTimeoutUs + peer.roundTripUs, AlarmKind::RequestTimeout, {}, id);
@@ -827,7 +827,7 @@
 {
     send(node, SlotReturn{request, false, AttemptOutcome::NotStarted, 0});
     ++m_counters.grantsUnused;
-    countSlotMessages(2, 3);
+    countSlotMessages(0, 3);
     m_requests.erase(request);
 }
 
@@ -906,7 +906,7 @@
     if (request == m_requests.end() || request->second.node != node || request->second.granted)
         return;
     ++m_counters.slotsRefused;
-    countSlotMessages(1, 2);
+    countSlotMessages(0, 2);
     if (const auto peer = m_peers.find(node); peer != m_peers.end()) {
         double &granted = peer->second.granted[request->second.range];
         granted -= request->second.held ? 0 : detail::grantedRate * granted;
