Leave slow slots to the backlog of a flooding organisation

Cause: a burst of one organisation spread the tasks of the other's jobs out and put them on whatever slot became free. Change: an organisation saves up to 10 s of service below its share; while another one floods the entry VM, its tasks wait for a faster slot where that ends them earlier, and the backlog takes the slow one; tasks with less than half of their expected time left are dropped.

--- a/bench/cases.h
+++ b/bench/cases.h
@@ -206,7 +206,10 @@
                                        percent / 100.0, nodes));
         }
     for (const double weight : {0.0, 1.0})
-        cases.push_back(steadyCase("weight " + std::to_string(static_cast<int>(weight)) + " 85%", 0.85, 6, weight));
+        for (const int percent : {50, 70, 85})
+            cases.push_back(steadyCase("weight " + std::to_string(static_cast<int>(weight)) + " "
+                                               + std::to_string(percent) + "%",
+                                       percent / 100.0, 6, weight));
 
     CaseOptions burst;
     burst.name = "burst";
--- a/packages/core/basic_scheduler.h
+++ b/packages/core/basic_scheduler.h
@@ -47,10 +47,12 @@
 constexpr double longTaskPower = 0.3;     // of the length
 constexpr double maxLongTaskFactor = 1.6; // over the usual fastest free slot
 constexpr double borrowCostUs = 5.0 * usPerMs; // price of the messages of a borrow at response weight 0.5
-constexpr double hopelessShare = 0.25;   // of the expected time: less than this left means that the task cannot finish
+constexpr double hopelessShare = 0.5;    // of the expected time: less than this left means that the task cannot finish
 constexpr double certainWaitShare = 0.7; // of the expected wait counts at admission
 constexpr double poisonRate = 0.6;       // of failed attempts of a template: failures say nothing about backend servers
 constexpr double queueShare = 4;         // queued tasks of one organisation per free place in the queue
+constexpr std::uint32_t floodTasks = 16; // queued tasks of one organisation that count as a flood
+constexpr std::uint32_t floodShare = 8;  // over those of all others
 constexpr std::uint32_t maxFailures = 3; // failed attempts of one task
 constexpr std::uint32_t maxDenials = 8;  // of the retry budget in a row, after a failed attempt
 constexpr std::uint32_t maxSkips = 8;    // jobs passed over in one round because no free slot is large enough
@@ -136,6 +138,8 @@
     Step placeNext(Now now, Decisions &decisions, std::vector<FairQueue::Place> &skipped);
     bool mayStart(const FairQueue::Place &place, Now now);
     bool dropHopeless(const FairQueue::Place &place, Now now);
+    bool isFlooding(OrganisationId id) const;
+    bool leaveToBacklog(const FairQueue::Place &place, BackendId slot, Now now, Decisions &decisions);
     std::optional<BackendId> chooseOwn(const TaskShape &shape);
     Step placeOnSlots(const FairQueue::Place &place, Now now, Decisions &decisions,
                       std::vector<FairQueue::Place> &skipped);
--- a/packages/core/basic_scheduler_impl.h
+++ b/packages/core/basic_scheduler_impl.h
@@ -608,6 +608,44 @@
     return Step::Again;
 }
 
+// True when the organisation's backlog is long and the others', who are active, is short.
+template <SlotPolicy P> bool BasicScheduler<P>::isFlooding(OrganisationId id) const
+{
+    const std::uint32_t own = m_organisations[raw(id)].queued;
+    if (own < detail::floodTasks || own < detail::floodShare * (m_queuedTasks - own))
+        return false;
+    return std::any_of(m_organisations.begin(), m_organisations.end(), [&](const Organisation &other) {
+        return &other != &m_organisations[raw(id)]
+                && (other.queued > 0 || other.arrivals > 0 || other.limiter.running() > 0);
+    });
+}
+
+// While another organisation has a backlog that uses any slot, a task waits for a faster slot where that ends it
+// earlier: the backlog takes the slow slot and the other organisation's response time stays what it was without the
+// backlog.
+template <SlotPolicy P>
+bool BasicScheduler<P>::leaveToBacklog(const FairQueue::Place &place, BackendId slot, Now now, Decisions &decisions)
+{
+    const auto last = m_queue.last();
+    if (!last || last->organisation == place.organisation || !isFlooding(last->organisation))
+        return false;
+    const auto &job = m_jobs.at(place.job);
+    const TaskShape shape = shapeOf(job, job.tasks[job.queued.back()]);
+    const auto faster = m_pool.fasterThan(m_pool[slot].bucket);
+    if (faster.rate <= 0)
+        return false;
+    const double gapUs = m_model.meanBaseUs() / faster.rate;
+    const double laterUs = gapUs * organisation(job).queued + m_model.baseUs(shape) * faster.meanFactor;
+    if (m_model.expectedPerSuccessUs(shape, slot) <= laterUs)
+        return false;
+    const auto &lastJob = m_jobs.at(last->job);
+    if (!fits(shapeOf(lastJob, lastJob.tasks[lastJob.queued.back()]), m_pool[slot].info))
+        return false;
+    if (mayStart(*last, now) && !dropHopeless(*last, now))
+        startNext(*last, slot, now, decisions);
+    return true;
+}
+
 // Long tasks leave the fastest slots to short ones: a fast slot serves many short tasks in the time of a long one, and
 // each of them gains as much relative to its ideal. They take the slot next to what is usually the fastest free one.
 template <SlotPolicy P> std::optional<BackendId> BasicScheduler<P>::chooseOwn(const TaskShape &shape)
@@ -634,6 +672,8 @@
     const auto own = chooseOwn(shape);
     const double ownUs = own ? m_model.expectedPerSuccessUs(shape, *own) : 0;
     const double weight = std::clamp(organisation(job).parameters.responseWeight, 0.0, 1.0);
+    if (own && leaveToBacklog(place, *own, now, decisions))
+        return Step::Again;
     if (own) {
         if (const auto offer = bestOffer(shape, ownUs, weight, now)) {
             requestSlot(place, *offer, now);
--- a/packages/core/limits.cpp
+++ b/packages/core/limits.cpp
@@ -18,12 +18,13 @@
 
 constexpr std::int64_t reportValidUs = 3 * usPerS;
 constexpr std::int64_t rememberNodeUs =
-        300 * usPerS;                 // a peer that is not live any more keeps its fixed share this long
-constexpr double evenPart = 0.2;      // of the pool, divided evenly so that new demand can start
-constexpr std::int64_t turnMs = 2000; // of limits below the number of entry VMs that want a part
-constexpr double burstS = 0.25;       // seconds of rate that may start at once
-constexpr double freeRetries = 5;     // in each window
-constexpr double usableBudget = 0.9;  // of the budget: windows that start between two slots stay below it
+        300 * usPerS;                     // a peer that is not live any more keeps its fixed share this long
+constexpr double evenPart = 0.2;          // of the pool, divided evenly so that new demand can start
+constexpr std::int64_t turnMs = 2000;     // of limits below the number of entry VMs that want a part
+constexpr double savedUs = 10.0 * usPerS; // of service that an organisation may save up
+constexpr double burstS = 0.25;           // seconds of rate that may start at once
+constexpr double freeRetries = 5;         // in each window
+constexpr double usableBudget = 0.9;      // of the budget: windows that start between two slots stay below it
 constexpr std::int64_t firstBackoffUs = 10 * usPerMs;
 constexpr std::int64_t maxBackoffUs = 2 * usPerS;
 
@@ -48,8 +49,10 @@
     auto &group = m_classes[place.priorityClass];
     auto &lane = group.lanes[place.organisation];
     if (lane.jobs.empty()) {
-        // A lane that was idle does not save up service.
-        lane.virtualTime = std::max(lane.virtualTime, group.virtualTime);
+        // A lane that was idle or below its share saves up a bounded amount, so that its next job is not spread out
+        // between the tasks of an organisation with a long backlog.
+        lane.virtualTime =
+                std::max(lane.virtualTime, group.virtualTime - savedUs / organisation(place.organisation).weight);
         if (!organisation(place.organisation).blocked)
             group.ready.emplace(lane.virtualTime, place.organisation);
     }
--- a/packages/core/routing.cpp
+++ b/packages/core/routing.cpp
@@ -232,7 +232,7 @@
         m_rate[backend.bucket] -= backend.rate;
         m_held[backend.bucket] -= 1;
         m_totalRate -= backend.rate;
-        m_heldSlots -= backend.info.slots;
+        m_heldSlots -= backend.counted;
     }
 
     const bool usable = !backend.gone && !backend.leaving;
@@ -248,7 +248,7 @@
         m_rate[backend.bucket] += backend.rate;
         m_held[backend.bucket] += 1;
         m_totalRate += backend.rate;
-        m_heldSlots += backend.info.slots;
+        m_heldSlots += backend.counted = backend.held;
     }
     m_freeSlots += backend.free;
     if (backend.free > 0)
--- a/packages/core/routing.h
+++ b/packages/core/routing.h
@@ -114,6 +114,7 @@
     std::uint32_t bucket = 0;         // derived: factorBucket()
     std::uint32_t bucketPosition = 0; // derived: place in the bucket's list while free > 0
     std::uint32_t listPosition = 0;   // derived: place in the list of free backend servers while free > 0
+    std::uint32_t counted = 0;        // derived: held slots in the sum of usable ones
     double rate = 0;                  // derived: completions per base time that the held slots make
 };
 
