--- a/packages/core/basic_scheduler.h
+++ b/packages/core/basic_scheduler.h
@@ -30,10 +30,12 @@
 constexpr double grantedRate = 0.1;     // of the smoothed share of granted requests
 constexpr double grantedForget = 0.005; // with each report, so that a peer that refused is asked again
 constexpr double leastGain = -9;
-constexpr double wastedTarget = 0.03; // of the messages
-constexpr double priceStep = 0.05;    // of the logarithm for each message above the target
-constexpr double minLogPrice = 6;     // 0.4 ms
-constexpr double maxLogPrice = 16;    // 9 s
+constexpr double leastWasted = 0.002;    // target for the share of wasted messages at response weight 0
+constexpr double wastedPerWeight = 0.08; // added for each unit of response weight
+constexpr double mostWasted = 0.042;     // the rest up to 5% is left to failures that nobody chooses
+constexpr double priceStep = 0.05;       // of the logarithm for each message above the target
+constexpr double minLogPrice = 6;        // 0.4 ms
+constexpr double maxLogPrice = 16;       // 9 s
 constexpr std::uint32_t maxHeldRequests = 6;
 constexpr std::int64_t heldTimeoutUs = 12 * usPerMs; // for which a peer holds a request for any slot
 constexpr double noSlotGapUs = 100.0 * usPerMs;      // gain by one slot where no own one works
@@ -41,11 +43,16 @@
 constexpr double minPriceScale = 0.1;
 constexpr std::int64_t relaxEveryUs = 500 * usPerMs;
 constexpr std::int64_t busyBlockUs = 30 * usPerMs;
+constexpr double longTask = 1;            // length over the mean from which on the fastest slots are left to others
+constexpr double longTaskPower = 0.3;     // of the length
+constexpr double maxLongTaskFactor = 1.6; // over the usual fastest free slot
 constexpr double borrowCostUs = 5.0 * usPerMs; // price of the messages of a borrow at response weight 0.5
-constexpr double hopelessShare = 0.25;   // of the expected time: less than this left means that the task cannot finish
+constexpr double hopelessShare = 0.5;    // of the expected time: less than this left means that the task cannot finish
 constexpr double certainWaitShare = 0.7; // of the expected wait counts at admission
 constexpr double poisonRate = 0.6;       // of failed attempts of a template: failures say nothing about backend servers
 constexpr double queueShare = 4;         // queued tasks of one organisation per free place in the queue
+constexpr std::uint32_t floodTasks = 16; // queued tasks of one organisation that count as a flood
+constexpr std::uint32_t floodShare = 8;  // over those of all others
 constexpr std::uint32_t maxFailures = 3; // failed attempts of one task
 constexpr std::uint32_t maxDenials = 8;  // of the retry budget in a row, after a failed attempt
 constexpr std::uint32_t maxSkips = 8;    // jobs passed over in one round because no free slot is large enough
@@ -132,6 +139,9 @@
     Step placeNext(Now now, Decisions &decisions, std::vector<FairQueue::Place> &skipped);
     bool mayStart(const FairQueue::Place &place, Now now);
     bool dropHopeless(const FairQueue::Place &place, Now now);
+    bool isFlooding(OrganisationId id) const;
+    bool leaveToBacklog(const FairQueue::Place &place, BackendId slot, Now now, Decisions &decisions);
+    std::optional<BackendId> chooseOwn(const TaskShape &shape);
     Step placeOnSlots(const FairQueue::Place &place, Now now, Decisions &decisions,
                       std::vector<FairQueue::Place> &skipped);
     void startNext(const FairQueue::Place &place, BackendId backend, Now now, Decisions &decisions);
@@ -141,7 +151,7 @@
     void endHeld(const OpenRequest &request, bool granted);
     void lend(const LoanKey &key, const TaskShape &shape, BackendId backend, Now now);
     void serveHeld(Now now);
-    void countSlotMessages(double sent, double wasted);
+    void countSlotMessages(double sent, double wasted, double weight = 0);
     void requestSlot(const FairQueue::Place &place, const Offer &offer, Now now);
     void returnUnused(std::uint64_t request, const std::string &node);
     void send(std::string_view node, PeerMessage message);
--- a/packages/core/basic_scheduler_impl.h
+++ b/packages/core/basic_scheduler_impl.h
@@ -444,6 +444,8 @@
         m_queue.unblock(job.place.organisation);
     m_dirty = true;
 
+    if (outcome != AttemptOutcome::Completed)
+        countSlotMessages(0, 1);
     if (outcome == AttemptOutcome::Completed) {
         endTask(ref.job, job, task);
         return NextStep::Done;
@@ -508,6 +510,8 @@
     for (const BackendId id : probes)
         decisions.probes.push_back({id});
     m_counters.probes += probes.size();
+    if (!probes.empty())
+        countSlotMessages(0, static_cast<double>(probes.size()));
     append(decisions.messages, m_outbox);
     append(decisions.drops, m_drops);
     append(decisions.notices, m_notices);
@@ -615,6 +619,58 @@
     return Step::Again;
 }
 
+// True when the organisation's backlog is long and the others', who are active, is short.
+template <SlotPolicy P> bool BasicScheduler<P>::isFlooding(OrganisationId id) const
+{
+    const std::uint32_t own = m_organisations[raw(id)].queued;
+    if (own < detail::floodTasks || own < detail::floodShare * (m_queuedTasks - own))
+        return false;
+    return std::any_of(m_organisations.begin(), m_organisations.end(), [&](const Organisation &other) {
+        return &other != &m_organisations[raw(id)]
+                && (other.queued > 0 || other.arrivals > 0 || other.limiter.running() > 0);
+    });
+}
+
+// While another organisation has a backlog that uses any slot, a task waits for a faster slot where that ends it
+// earlier: the backlog takes the slow slot and the other organisation's response time stays what it was without the
+// backlog.
+template <SlotPolicy P>
+bool BasicScheduler<P>::leaveToBacklog(const FairQueue::Place &place, BackendId slot, Now now, Decisions &decisions)
+{
+    const auto last = m_queue.last();
+    if (!last || last->organisation == place.organisation || !isFlooding(last->organisation))
+        return false;
+    const auto &job = m_jobs.at(place.job);
+    const TaskShape shape = shapeOf(job, job.tasks[job.queued.back()]);
+    const auto faster = m_pool.fasterThan(m_pool[slot].bucket);
+    if (faster.rate <= 0)
+        return false;
+    const double gapUs = m_model.meanBaseUs() / faster.rate;
+    const double laterUs = gapUs * organisation(job).queued + m_model.baseUs(shape) * faster.meanFactor;
+    if (m_model.expectedPerSuccessUs(shape, slot) <= laterUs)
+        return false;
+    const auto &lastJob = m_jobs.at(last->job);
+    if (!fits(shapeOf(lastJob, lastJob.tasks[lastJob.queued.back()]), m_pool[slot].info))
+        return false;
+    if (mayStart(*last, now) && !dropHopeless(*last, now))
+        startNext(*last, slot, now, decisions);
+    return true;
+}
+
+// Long tasks leave the fastest slots to short ones: a fast slot serves many short tasks in the time of a long one, and
+// each of them gains as much relative to its ideal. They take the slot next to what is usually the fastest free one.
+template <SlotPolicy P> std::optional<BackendId> BasicScheduler<P>::chooseOwn(const TaskShape &shape)
+{
+    const double length = m_model.baseUs(shape) / m_model.meanBaseUs();
+    if (length > detail::longTask) {
+        const double spare =
+                std::min(std::pow(length / detail::longTask, detail::longTaskPower), detail::maxLongTaskFactor);
+        if (const auto slot = m_pool.slowestFree(factorBucket(std::exp(m_logOffer) * spare), shape))
+            return slot;
+    }
+    return m_policy.choose(m_pool, m_model, shape, m_random);
+}
+
 // Compares the expected finish on the best free slot, on a borrowed one, and on a faster slot that is about to be
 // freed.
 template <SlotPolicy P>
@@ -624,9 +680,11 @@
 {
     const auto &job = m_jobs.at(place.job);
     const TaskShape shape = shapeOf(job, job.tasks[job.queued.back()]);
-    const auto own = m_policy.choose(m_pool, m_model, shape, m_random);
+    const auto own = chooseOwn(shape);
     const double ownUs = own ? m_model.expectedPerSuccessUs(shape, *own) : 0;
     const double weight = std::clamp(organisation(job).parameters.responseWeight, 0.0, 1.0);
+    if (own && leaveToBacklog(place, *own, now, decisions))
+        return Step::Again;
     if (own) {
         if (const auto offer = bestOffer(shape, ownUs, weight, now)) {
             requestSlot(place, *offer, now);
@@ -671,7 +729,7 @@
         ++m_counters.firstAttempts;
     }
     m_counters.slotsBorrowed += request != 0 ? 1 : 0;
-    countSlotMessages(request != 0 ? 3 : 1, 0); // with the grant and the return
+    countSlotMessages(request != 0 ? 4 : 1, 0, owner.parameters.responseWeight); // with request, grant and return
     owner.limiter.onStart();
     m_breakers.onStart(backend, now.monoUs);
     updateBackend(backend, now.monoUs, [&](BackendSlots &slots) {
@@ -686,10 +744,13 @@
 
 namespace detail {
 
-inline std::uint32_t gainRange(double ratio)
+inline std::uint32_t gainRange(double ratio, std::uint32_t freeSlots)
 {
-    constexpr std::array<double, gainRanges - 1> bounds = {0.8, 1.0, 1.25, 1.6, 2.2};
-    return static_cast<std::uint32_t>(std::upper_bound(bounds.begin(), bounds.end(), ratio) - bounds.begin());
+    constexpr std::array<double, 5> ratios = {0.8, 1.0, 1.25, 1.6, 2.2};
+    constexpr std::array<std::uint32_t, 2> frees = {5, 15};
+    const auto row = std::upper_bound(ratios.begin(), ratios.end(), ratio) - ratios.begin();
+    const auto column = std::upper_bound(frees.begin(), frees.end(), freeSlots) - frees.begin();
+    return static_cast<std::uint32_t>(row * 3 + column);
 }
 
 } // namespace detail
@@ -710,7 +771,7 @@
         if (peer.freeSlots == 0 || peer.bestFactor <= 0 || now.monoUs - peer.reportUs > detail::reportStaleUs)
             continue;
         const double offerUs = declaredBase * peer.bestFactor;
-        const std::uint32_t range = detail::gainRange(aloneUs / offerUs);
+        const std::uint32_t range = detail::gainRange(aloneUs / offerUs, peer.freeSlots);
         const double share = peer.granted[range];
         // A granted slot is faster than asked for; where it was expected to be slower, half of the difference is
         // assumed.
@@ -725,11 +786,13 @@
     return best;
 }
 
-// Each refusal raises the price of a refusal, each other message lowers it, so that their share settles at the target.
-template <SlotPolicy P> void BasicScheduler<P>::countSlotMessages(double sent, double wasted)
+// Each wasted message raises the price of a refusal, each message of a task lowers it by the share that the
+// organisation's response weight allows, so that the share of wasted messages settles there.
+template <SlotPolicy P> void BasicScheduler<P>::countSlotMessages(double sent, double wasted, double weight)
 {
-    m_logPrice = std::clamp(m_logPrice + detail::priceStep * (wasted - detail::wastedTarget * sent),
-                            detail::minLogPrice, detail::maxLogPrice);
+    const double allowed = std::min(detail::leastWasted + detail::wastedPerWeight * weight, detail::mostWasted);
+    m_logPrice = std::clamp(m_logPrice + detail::priceStep * (wasted - allowed * sent), detail::minLogPrice,
+                            detail::maxLogPrice);
 }
 
 template <SlotPolicy P> void BasicScheduler<P>::send(std::string_view node, PeerMessage message)
@@ -751,7 +814,6 @@
     m_requests[id] = OpenRequest{offer.node, TaskRef{place.job, index}, offer.range};
     --m_peers.at(offer.node).freeSlots;
     ++m_counters.slotRequests;
-    countSlotMessages(1, 0);
     send(offer.node,
          SlotRequest{id, std::string(m_configuration.name(job.templateId)), task.cores, task.memoryMb,
                      bound < 4e9 ? static_cast<std::uint32_t>(bound) : 0});
@@ -779,7 +841,6 @@
         m_requests[id] = OpenRequest{name, {}, 0, true, false};
         ++peer.held;
         ++m_counters.slotRequests;
-        countSlotMessages(1, 0);
         send(name,
              SlotRequest{id, std::string(m_configuration.name(shape.templateId)), shape.cores, shape.memoryMb, 0});
         setAlarm(now.monoUs + detail::heldTimeoutUs + peer.roundTripUs, AlarmKind::RequestTimeout, {}, id);
@@ -817,7 +878,7 @@
 {
     send(node, SlotReturn{request, false, AttemptOutcome::NotStarted, 0});
     ++m_counters.grantsUnused;
-    countSlotMessages(2, 3);
+    countSlotMessages(0, 3);
     m_requests.erase(request);
 }
 
@@ -896,7 +957,7 @@
     if (request == m_requests.end() || request->second.node != node || request->second.granted)
         return;
     ++m_counters.slotsRefused;
-    countSlotMessages(1, 2);
+    countSlotMessages(0, 2);
     if (const auto peer = m_peers.find(node); peer != m_peers.end()) {
         double &granted = peer->second.granted[request->second.range];
         granted -= request->second.held ? 0 : detail::grantedRate * granted;
--- a/packages/core/routing.cpp
+++ b/packages/core/routing.cpp
@@ -232,7 +232,7 @@
         m_rate[backend.bucket] -= backend.rate;
         m_held[backend.bucket] -= 1;
         m_totalRate -= backend.rate;
-        m_heldSlots -= backend.info.slots;
+        m_heldSlots -= backend.counted;
     }
 
     const bool usable = !backend.gone && !backend.leaving;
@@ -248,13 +248,22 @@
         m_rate[backend.bucket] += backend.rate;
         m_held[backend.bucket] += 1;
         m_totalRate += backend.rate;
-        m_heldSlots += backend.info.slots;
+        m_heldSlots += backend.counted = backend.held;
     }
     m_freeSlots += backend.free;
     if (backend.free > 0)
         link(id);
 }
 
+std::optional<BackendId> SlotPool::slowestFree(std::uint32_t bucket, const TaskShape &shape) const
+{
+    for (std::uint32_t i = bucket + 1; i-- > 0;)
+        for (const BackendId id : m_free[i])
+            if (fits(shape, m_backends[raw(id)].info))
+                return id;
+    return std::nullopt;
+}
+
 SlotPool::Faster SlotPool::fasterThan(std::uint32_t bucket) const
 {
     Faster faster;
--- a/packages/core/routing.h
+++ b/packages/core/routing.h
@@ -114,6 +114,7 @@
     std::uint32_t bucket = 0;         // derived: factorBucket()
     std::uint32_t bucketPosition = 0; // derived: place in the bucket's list while free > 0
     std::uint32_t listPosition = 0;   // derived: place in the list of free backend servers while free > 0
+    std::uint32_t counted = 0;        // derived: held slots in the sum of usable ones
     double rate = 0;                  // derived: completions per base time that the held slots make
 };
 
@@ -147,6 +148,9 @@
         }
     }
 
+    // The slowest free backend server in a bucket up to this one that is large enough.
+    std::optional<BackendId> slowestFree(std::uint32_t bucket, const TaskShape &shape) const;
+
     // Completions per base time of all held slots in faster buckets, and their mean factor per completion.
     struct Faster
     {
