--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -75,34 +75,50 @@
     }
 }
 
+// Control work of the whole fleet, idle or with jobs at every entry VM whose keys it owns itself.
+void measureFleet(std::uint32_t count, bool isLoaded)
+{
+    constexpr int seconds = 20;
+    constexpr int jobsPerS = 20; // of each entry VM, one task each
+    Fleet fleet({.nodes = count, .zones = 8, .backends = 4 * count, .countBytes = true});
+    for (FleetNode &node : fleet.nodes)
+        node.cpuNs = node.peerBytes = node.peerMessages = node.appends = 0;
+    for (int step = 0; step < seconds * jobsPerS; ++step) {
+        for (std::uint32_t node = 0; isLoaded && node < count; ++node)
+            fleet.submit(node, 1);
+        fleet.run(usPerS / jobsPerS);
+    }
+    FleetNode sum;
+    std::uint64_t mostBytes = 0;
+    std::size_t links = 0;
+    for (const FleetNode &node : fleet.nodes) {
+        sum.cpuNs += node.cpuNs;
+        sum.peerBytes += node.peerBytes;
+        sum.peerMessages += node.peerMessages;
+        sum.appends += node.appends;
+        mostBytes = std::max(mostBytes, node.peerBytes);
+        links += node.links.size();
+    }
+    const std::string state = isLoaded ? ", loaded" : ", idle";
+    const double nodeSeconds = static_cast<double>(count) * seconds;
+    add("entry VMs", count, "control messages" + state, static_cast<double>(sum.peerMessages) / nodeSeconds,
+        "per s and node");
+    add("entry VMs", count, "control bytes, mean" + state, static_cast<double>(sum.peerBytes) / nodeSeconds,
+        "per s and node");
+    add("entry VMs", count, "control bytes, most" + state, static_cast<double>(mostBytes) / seconds, "per s");
+    if (isLoaded)
+        return;
+    add("entry VMs", count, "control processor time", static_cast<double>(sum.cpuNs) / nodeSeconds / 1e7,
+        "% of a core");
+    add("entry VMs", count, "links", static_cast<double>(links) / count, "per node");
+    add("entry VMs", count, "log appends", static_cast<double>(sum.appends) / seconds, "per s, all nodes");
+}
+
 void measureEntryVms()
 {
-    constexpr double seconds = 20;
     for (const std::uint32_t count : {9U, 50U, 150U}) {
-        Fleet fleet({.nodes = count, .zones = 8, .backends = 200, .countBytes = true});
-        for (FleetNode &node : fleet.nodes)
-            node.cpuNs = node.peerBytes = node.peerMessages = node.appends = 0;
-        fleet.run(static_cast<std::int64_t>(seconds) * usPerS);
-        double cpu = 0;
-        double bytes = 0;
-        double messages = 0;
-        double appends = 0;
-        double links = 0;
-        double mostBytes = 0;
-        for (const FleetNode &node : fleet.nodes) {
-            cpu += static_cast<double>(node.cpuNs);
-            bytes += static_cast<double>(node.peerBytes);
-            messages += static_cast<double>(node.peerMessages);
-            appends += static_cast<double>(node.appends);
-            links += static_cast<double>(node.links.size());
-            mostBytes = std::max(mostBytes, static_cast<double>(node.peerBytes));
-        }
-        add("entry VMs", count, "control messages", messages / count / seconds, "per s and node");
-        add("entry VMs", count, "control bytes, mean", bytes / count / seconds, "per s and node");
-        add("entry VMs", count, "control bytes, most", mostBytes / seconds, "per s and node");
-        add("entry VMs", count, "control processor time", cpu / count / seconds / 1e7, "% of a core");
-        add("entry VMs", count, "links", links / count, "per node");
-        add("entry VMs", count, "log appends", appends / seconds, "per s, all nodes");
+        measureFleet(count, false);
+        measureFleet(count, true);
     }
 }
 
--- a/packages/core/basic_scheduler.h
+++ b/packages/core/basic_scheduler.h
@@ -30,15 +30,18 @@
 constexpr double grantedRate = 0.1;     // of the smoothed share of granted requests
 constexpr double grantedForget = 0.005; // with each report, so that a peer that refused is asked again
 constexpr double leastGain = -9;
-constexpr double wastedTarget = 0.03;   // of the messages
-constexpr double priceStep = 0.05;      // of the logarithm for each message above the target
-constexpr double minLogPrice = 6;       // 0.4 ms
-constexpr double maxLogPrice = 16;      // 9 s
+constexpr double wastedTarget = 0.03; // of the messages
+constexpr double priceStep = 0.05;    // of the logarithm for each message above the target
+constexpr double minLogPrice = 6;     // 0.4 ms
+constexpr double maxLogPrice = 16;    // 9 s
 constexpr std::uint32_t maxHeldRequests = 6;
 constexpr std::int64_t heldTimeoutUs = 12 * usPerMs; // for which a peer holds a request for any slot
 constexpr double noSlotGapUs = 100.0 * usPerMs;      // gain by one slot where no own one works
 constexpr double maxPriceScale = 50;
 constexpr double minPriceScale = 0.1;
+constexpr std::size_t maxReportPeers = 4;        // of the own zone that hear of one round
+constexpr std::size_t reportRoundsPerDemand = 5; // demand is reported in every fifth round
+constexpr double arrivalsGain = 0.3;             // of the smoothed arrivals, per round
 constexpr std::int64_t relaxEveryUs = 500 * usPerMs;
 constexpr std::int64_t busyBlockUs = 30 * usPerMs;
 constexpr double borrowCostUs = 5.0 * usPerMs; // price of the messages of a borrow at response weight 0.5
@@ -114,6 +117,8 @@
     void handleAlarm(const Alarm &alarm, Now now);
     void tick(Now now);
     void report(Now now);
+    void smoothArrivals();
+    std::vector<OrganisationDemand> demand() const;
     void updateShares(Now now);
     TaskShape templateShape(TemplateId id) const;
     double expectedWaitUs(const JobTicket &job, std::uint32_t priorityClass) const;
@@ -178,6 +183,7 @@
     std::uint32_t m_heldRequests = 0;                        // own ones in progress
     std::uint64_t m_nextRequest = 1;
     std::size_t m_reportRound = 0;
+    Report m_lastReport;    // of the last round, without demand
     double m_logOffer = 0;  // log of the smoothed factor of the fastest free slot
     double m_logPrice = 10; // log of the price of a refusal, us
 
--- a/packages/core/basic_scheduler_impl.h
+++ b/packages/core/basic_scheduler_impl.h
@@ -737,8 +737,7 @@
     m_outbox.push_back({std::string(node), std::move(message)});
 }
 
-template <SlotPolicy P>
-void BasicScheduler<P>::requestSlot(const FairQueue::Place &place, const Offer &offer, Now now)
+template <SlotPolicy P> void BasicScheduler<P>::requestSlot(const FairQueue::Place &place, const Offer &offer, Now now)
 {
     auto &job = m_jobs.at(place.job);
     const std::uint32_t index = takeTask(job);
@@ -963,7 +962,8 @@
 
 template <SlotPolicy P> void BasicScheduler<P>::onPeerMessage(std::string_view node, const Report &message, Now now)
 {
-    m_shares.onReport(node, message.demand, now.monoUs);
+    if (message.demand)
+        m_shares.onReport(node, message.demand->organisations, now.monoUs);
     const auto peer = m_peers.find(node);
     if (peer == m_peers.end())
         return;
@@ -973,41 +973,67 @@
     m_dirty = true;
 }
 
-// Sends headroom and demand to the entry VMs of the own zone and to one in each other zone, in turn.
+// Reports headroom often and demand every reportRoundsPerDemand rounds. The traffic of an entry VM must not grow with
+// the fleet: at most maxReportPeers of the own zone hear of a round, in turn, and one entry VM of each other zone with
+// the demand. Rounds in which nothing has changed are left out, but for those with the demand.
 template <SlotPolicy P> void BasicScheduler<P>::report(Now now)
 {
+    const bool withDemand = m_reportRound % detail::reportRoundsPerDemand == 0;
     Report message;
     message.freeSlots = P::usesHeldSlots ? m_pool.freeSlots() : 0;
     message.queuedTasks = m_queuedTasks;
     message.bestFactor = static_cast<float>(std::exp(m_logOffer) * m_model.scale());
     message.configNext = m_configuration.nextOffset();
-    const double seconds = static_cast<double>(m_settings.reportIntervalMs) / 1000;
-    for (auto &organisation : m_organisations) {
-        organisation.arrivalsPerS += 0.3 * (organisation.arrivals / seconds - organisation.arrivalsPerS);
-        organisation.arrivals = 0;
-        if (organisation.queued > 0 || organisation.limiter.running() > 0 || organisation.arrivalsPerS > 0.1)
-            message.demand.push_back({organisation.name, organisation.limiter.running(), organisation.queued,
-                                      static_cast<float>(organisation.arrivalsPerS)});
-    }
-    absl::btree_map<std::string, std::vector<std::string>> byZone;
-    for (const auto &[name, peer] : m_peers)
-        byZone[peer.zone].push_back(name);
-    for (const auto &[zone, names] : byZone) {
-        if (zone == m_settings.self.zone)
-            for (const std::string &name : names)
-                send(name, message);
-        else
-            send(names[m_reportRound % names.size()], message);
+    const bool changed = message.freeSlots != m_lastReport.freeSlots || message.queuedTasks != m_lastReport.queuedTasks
+            || message.bestFactor != m_lastReport.bestFactor;
+    m_lastReport = message;
+    smoothArrivals();
+    if (withDemand)
+        message.demand = DemandReport{demand()};
+    if (withDemand || changed) {
+        absl::btree_map<std::string, std::vector<std::string>> byZone;
+        for (const auto &[name, peer] : m_peers)
+            byZone[peer.zone].push_back(name);
+        for (const auto &[zone, names] : byZone) {
+            const bool isOwnZone = zone == m_settings.self.zone;
+            if (!isOwnZone && !withDemand)
+                continue;
+            const std::size_t count = isOwnZone ? std::min(names.size(), detail::maxReportPeers) : 1;
+            const std::size_t first = isOwnZone ? m_reportRound * count : m_reportRound / detail::reportRoundsPerDemand;
+            for (std::size_t i = 0; i < count; ++i)
+                send(names[(first + i) % names.size()], message);
+        }
     }
     ++m_reportRound;
-    for (auto &[name, peer] : m_peers)
+    for (auto &[name, peer] : m_peers) {
         for (double &granted : peer.granted)
             granted += detail::grantedForget * (0.5 - granted);
-    for (auto &[name, peer] : m_peers)
         peer.grantedHeld += detail::grantedForget * (0.5 - peer.grantedHeld);
+    }
     updateShares(now);
 }
 
+template <SlotPolicy P> void BasicScheduler<P>::smoothArrivals()
+{
+    const double seconds = static_cast<double>(m_settings.reportIntervalMs) / 1000;
+    for (auto &organisation : m_organisations) {
+        organisation.arrivalsPerS +=
+                detail::arrivalsGain * (organisation.arrivals / seconds - organisation.arrivalsPerS);
+        organisation.arrivals = 0;
+    }
+}
+
+template <SlotPolicy P> std::vector<OrganisationDemand> BasicScheduler<P>::demand() const
+{
+    std::vector<OrganisationDemand> demand;
+    for (const auto &organisation : m_organisations) {
+        if (organisation.queued > 0 || organisation.limiter.running() > 0 || organisation.arrivalsPerS > 0.1)
+            demand.push_back({organisation.name, organisation.limiter.running(), organisation.queued,
+                              static_cast<float>(organisation.arrivalsPerS)});
+    }
+    return demand;
+}
+
 template <SlotPolicy P>
 void BasicScheduler<P>::setAlarm(std::int64_t atUs, AlarmKind kind, TaskRef task, std::uint64_t number,
                                  std::string node)
--- a/packages/core/messages.h
+++ b/packages/core/messages.h
@@ -177,6 +177,12 @@
     float startsPerS = 0;      // job arrivals per second, smoothed
 };
 
+// Demand of all organisations that have any; others have none.
+struct DemandReport
+{
+    std::vector<OrganisationDemand> organisations;
+};
+
 struct Report
 {
     std::uint32_t freeSlots = 0;
@@ -184,7 +190,7 @@
     float bestFactor = 0; // speed factor of the fastest free slot, 1: average, 0: none free
     std::int64_t configNext = 0;
     std::int64_t ownershipNext = 0;
-    std::vector<OrganisationDemand> demand;
+    std::optional<DemandReport> demand; // empty: as last reported
 };
 
 struct ConfigRequest
