--- a/packages/core/basic_scheduler.h
+++ b/packages/core/basic_scheduler.h
@@ -41,6 +41,9 @@
 constexpr double noSlotGapUs = 100.0 * usPerMs;      // gain by one slot where no own one works
 constexpr double maxPriceScale = 50;
 constexpr double minPriceScale = 0.1;
+constexpr std::size_t maxReportPeers = 4;        // of the own zone that hear of one round
+constexpr std::size_t reportRoundsPerDemand = 5; // demand is reported in every fifth round
+constexpr double arrivalsGain = 0.3;             // of the smoothed arrivals, per round
 constexpr std::int64_t relaxEveryUs = 500 * usPerMs;
 constexpr std::int64_t busyBlockUs = 30 * usPerMs;
 constexpr double longTask = 1;            // length over the mean from which on the fastest slots are left to others
@@ -121,6 +124,8 @@
     void handleAlarm(const Alarm &alarm, Now now);
     void tick(Now now);
     void report(Now now);
+    void smoothArrivals();
+    std::vector<OrganisationDemand> demand() const;
     void updateShares(Now now);
     TaskShape templateShape(TemplateId id) const;
     double expectedWaitUs(const JobTicket &job, std::uint32_t priorityClass) const;
@@ -188,6 +193,7 @@
     std::uint32_t m_heldRequests = 0;                        // own ones in progress
     std::uint64_t m_nextRequest = 1;
     std::size_t m_reportRound = 0;
+    Report m_lastReport;    // of the last round, without demand
     double m_logOffer = 0;  // log of the smoothed factor of the fastest free slot
     double m_logPrice = 10; // log of the price of a refusal, us
 
