--- a/packages/core/dispatcher_attempts.cpp
+++ b/packages/core/dispatcher_attempts.cpp
@@ -12,10 +12,9 @@
 constexpr std::int64_t firstQueryPauseUs = 50 * usPerMs;
 constexpr std::int64_t maxQueryPauseUs = usPerS;
 constexpr std::int64_t queryTimeoutUs = 2 * usPerS; // a query whose answer got lost is sent again
-// A request that was cut off may still be read by a slow backend server; after this many answers, spread over 750 ms,
-// that it does not know the attempt, it is taken as not running any more. With 150 ms a request that was read 200 ms
-// late overlapped with the next attempt of its task.
-constexpr std::uint8_t notKnownLimit = 5;
+// A request that was cut off may still be read by the backend server, 200 ms later in runs of the fuzzer. Only when the
+// backend server says for this long that it does not know the attempt, it is taken as not running.
+constexpr std::int64_t notKnownUs = usPerS;
 
 RetryReason retryReasonOf(AttemptOutcome outcome)
 {
@@ -178,6 +177,7 @@
 void Dispatcher::State::sendQuery(Step &step, std::uint64_t sequence, Attempt &attempt)
 {
     attempt.queryOpen = true;
+    attempt.queriedUs = step.now.monoUs;
     attempt.dueUs = step.now.monoUs + queryTimeoutUs;
     timers.add({.atUs = attempt.dueUs, .id = sequence, .kind = TimerKind::AttemptQuery});
     ++counters.queries;
@@ -210,8 +210,12 @@
     if (!attempt.queryOpen)
         return; // a duplicate; the next query is due later
     attempt.queryOpen = false;
-    attempt.notKnown = event.state == AttemptState::NotKnown ? attempt.notKnown + 1 : 0;
-    if (attempt.notKnown >= notKnownLimit) {
+    if (event.state != AttemptState::NotKnown)
+        attempt.notKnownSinceUs = -1;
+    else if (attempt.notKnownSinceUs < 0)
+        attempt.notKnownSinceUs = step.now.monoUs;
+    // The time of the query counts: its answer may have waited for the end of a pause of this process.
+    if (attempt.notKnownSinceUs >= 0 && attempt.queriedUs >= attempt.notKnownSinceUs + notKnownUs) {
         // The backend server has restarted and its attempts have ended with it.
         const bool repeatable = mayRunAgain(*jobs.find(attempt.task.job));
         endAttempt(step, sequence, repeatable ? AttemptOutcome::Failed : AttemptOutcome::Unknown,
--- a/packages/core/dispatcher_forwards.cpp
+++ b/packages/core/dispatcher_forwards.cpp
@@ -29,6 +29,12 @@
     reviewForward(step, requestId);
 }
 
+// A load balancer that has not noticed the drain yet sends requests for a while; later ones would keep the process.
+bool Dispatcher::State::mayForward(const Now &now) const
+{
+    return !draining || now.monoUs < drainBegunUs + settings.drainLingerMs * usPerMs;
+}
+
 // True when the owner has certainly ended: its VM runs a newer incarnation.
 bool Dispatcher::State::isReplaced(const Forward &forward) const
 {
@@ -275,7 +281,8 @@
     if (link == links.end() || link->second.incarnation != event.incarnation)
         return; // late message of an incarnation whose link is closed
     PeerMessage message = std::move(event.message);
-    std::visit([&](auto &&alternative) { onPeer(step, event, std::move(alternative)); }, std::move(message));
+    std::visit([&](auto &&alternative) { onPeer(step, event, std::forward<decltype(alternative)>(alternative)); },
+               std::move(message));
 }
 
 void Dispatcher::State::onPeer(Step &step, const PeerMessageReceived &from, Probe &&message)
