--- a/tests/unit/net/codec_test.cpp
+++ b/tests/unit/net/codec_test.cpp
@@ -36,7 +36,7 @@
             SlotGrant{9, "b-01", 500},
             SlotRefuse{10},
             SlotReturn{11, true, AttemptOutcome::Unknown, 4000},
-            Report{1, 2, 1.5F, 3, 4, {{"north", 5, 6, 7.5F}}},
+            Report{1, 2, 1.5F, 3, 4, DemandReport{{{"north", 5, 6, 7.5F}}}},
             ConfigRequest{12},
             records,
             ConfigRecords{},
