--- a/tests/unit/core/membership_test.cpp
+++ b/tests/unit/core/membership_test.cpp
@@ -296,9 +296,9 @@
     fleet.run(30000);
     for (int i = 0; i < 150; ++i)
         REQUIRE(fleet.view(i).live().size() == 150);
-    std::vector<std::uint64_t> before;
+    std::vector<std::uint64_t> before(150);
     for (int i = 0; i < 150; ++i)
-        before.push_back(fleet.bytesSent(i));
+        before[i] = fleet.bytesSent(i);
     fleet.crash(17);
     fleet.run(8000);
     for (int i = 0; i < 150; ++i) {
--- a/tests/unit/core/ownership_test.cpp
+++ b/tests/unit/core/ownership_test.cpp
@@ -39,9 +39,9 @@
 
 std::vector<NodeInfo> fleet(int count)
 {
-    std::vector<NodeInfo> nodes;
+    std::vector<NodeInfo> nodes(count);
     for (int i = 0; i < count; ++i)
-        nodes.push_back({"e-" + std::to_string(i), "", "z1", Incarnation(i + 1), false});
+        nodes[i] = {"e-" + std::to_string(i), "", "z1", Incarnation(i + 1), false};
     return nodes;
 }
 
@@ -182,9 +182,9 @@
 TEST_CASE("planners of a fleet cover all partitions with few records")
 {
     const auto live = fleet(6);
-    std::vector<CoreSettings> settings;
+    std::vector<CoreSettings> settings(6);
     for (int i = 0; i < 6; ++i)
-        settings.push_back(settingsOf("e-" + std::to_string(i), i + 1));
+        settings[i] = settingsOf("e-" + std::to_string(i), i + 1);
     std::vector<GrantPlanner> planners(settings.begin(), settings.end());
     OwnershipTable table(horizonMs, stepMs);
     std::size_t appends = 0;
