Compute the key of a pair of backend servers from values

std::minmax returned references to temporaries (stack-use-after-scope, found by fuzz_core with the address sanitizer).

--- a/packages/core/breaker.cpp
+++ b/packages/core/breaker.cpp
@@ -31,7 +31,7 @@
 
 std::uint64_t pairKey(BackendId a, BackendId b)
 {
-    const auto [low, high] = std::minmax(raw(a), raw(b));
+    const auto [low, high] = std::minmax({raw(a), raw(b)}); // by value: raw() returns temporaries
     return static_cast<std::uint64_t>(low) << 32 | high;
 }
 
