--- a/packages/core/basic_scheduler_impl.h
+++ b/packages/core/basic_scheduler_impl.h
@@ -267,6 +267,8 @@
 template <SlotPolicy P> void BasicScheduler<P>::enqueue(const JobTicket &ticket, Now now)
 {
     assert(!m_jobs.contains(ticket.job));
+    if (m_generation != m_configuration.generation())
+        onConfiguration(now);
     const TaskShape byDefault = templateShape(ticket.templateId);
     auto &organisation = m_organisations[raw(ticket.organisation)];
     auto &job = m_jobs[ticket.job];
@@ -285,7 +287,6 @@
         pushTask(job, i);
     setAlarm(ticket.deadlineUs, AlarmKind::JobDeadline, TaskRef{ticket.job, 0}, 0);
     m_dirty = true;
-    static_cast<void>(now);
 }
 
 template <SlotPolicy P> void BasicScheduler<P>::pushTask(ScheduledJob &job, std::uint32_t index)
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -126,7 +126,7 @@
 private:
     double m_concurrency = 0;
     double m_ratePerS = 0;
-    double m_tokens = 1;
+    double m_tokens = 1e9; // the bucket is full at first
     std::int64_t m_filledUs = 0;
     std::uint32_t m_running = 0;
 };
