--- a/packages/config/entries.cpp
+++ b/packages/config/entries.cpp
@@ -81,7 +81,7 @@
         const std::string_view word = prefix.substr(0, prefix.size() - 1);
         if (!section.starts_with(word) || section.size() == word.size())
             continue;
-        const std::string name = std::string(prefix) + std::string(trim(section.substr(word.size())));
+        std::string name = std::string(prefix) + std::string(trim(section.substr(word.size())));
         const char separator = section[word.size()];
         if ((separator == ' ' || separator == '\t') && core::isEntryName(name))
             return name;
@@ -121,6 +121,10 @@
     if (!core::isEntryName(name))
         return tl::make_unexpected(
                 core::Findings{{std::string(name), 0, "", "entry name must be template/NAME or organisation/NAME"}});
+    if (text.size() > maxEntryBytes)
+        return tl::make_unexpected(
+                core::Findings{{std::string(name), 0, "",
+                                absl::StrCat("text has ", text.size(), " bytes, ", maxEntryBytes, " are allowed")}});
     IniFile file = readIni(name, text);
     core::Findings findings = std::move(file.findings);
     for (const IniSection &section : file.sections) {
--- a/tests/standins/load_oracle.h
+++ b/tests/standins/load_oracle.h
@@ -42,7 +42,9 @@
     std::int64_t maxRunUs = 1'000'000;
     double longShare = 0.002; // of the tasks run longRunUs
     std::int64_t longRunUs = 3'000'000;
-    double failingShare = 0; // of the tasks run and fail
+    double failingShare = 0;       // of the tasks run and fail
+    double misdeclaredShare = 0.1; // of the tasks declare a run time that is 5 times too long or too short
+    double burstShare = 0;         // of the jobs arrive at once in the middle of the run
     std::int64_t deadlineMs = 15'000;
     std::int64_t resubmitMs = 17'000; // without an answer the caller tries another entry VM
     double impatientShare = 0.03;     // of the callers resubmit after impatientMs
@@ -79,8 +81,14 @@
     std::uint32_t count = 0;
 };
 
+struct HealthRequest
+{
+    std::size_t entryVm = 0;
+};
+
 struct LoadRequests
 {
+    std::vector<HealthRequest> healthChecks;
     std::vector<SubmitRequest> submits;
     std::vector<CancelRequest> cancels;
     std::vector<KeysRequest> keys;
@@ -96,12 +104,13 @@
     Pending,
     Rejected, // 4xx with an error
     NotSent,
-    Unknown // connection lost or timeout
+    Timeout, // no answer within the time of the submission
+    Cut      // connection lost, or no answer in the form of the protocol
 };
 
 struct Reply
 {
-    ReplyKind kind = ReplyKind::Unknown;
+    ReplyKind kind = ReplyKind::Cut;
     bool effectsNone = false; // of Failed
     std::string reason;
     std::vector<std::string> results; // of Complete
@@ -119,6 +128,8 @@
     std::uint32_t partial = 0;  // complete answers whose results do not match the tasks
     std::uint32_t rejected = 0; // 4xx, contained in refused
     std::uint32_t resubmissions = 0;
+    std::uint32_t cut = 0;     // submissions whose connection was lost
+    std::uint32_t notSent = 0; // submissions that reached no entry VM
     std::uint32_t cancels = 0;
     std::uint64_t tasks = 0;
 };
@@ -133,6 +144,7 @@
     std::string id; // when not empty, sent with issuedAtMs in place of the key
     std::int64_t issuedAtMs = 0;
     std::vector<std::int64_t> runUs; // one entry a task
+    std::vector<std::int64_t> declaredUs;
     std::vector<bool> fails;
     std::int64_t arrivalUs = 0;
     std::int64_t idealUs = 0;      // longest task on an idle backend server of speed 1
@@ -142,7 +154,7 @@
     bool started = false;
     bool ended = false;
     bool impatient = false;
-    ReplyKind answer = ReplyKind::Unknown;
+    ReplyKind answer = ReplyKind::Pending;
     bool effectsNone = false;
     std::int64_t endUs = 0;
 
@@ -158,6 +170,9 @@
     // Everything that is due now.
     LoadRequests advance(std::int64_t nowUs, std::int64_t wallMs);
     void handleReply(JobIndex job, std::uint32_t attempt, const Reply &reply, std::int64_t nowUs);
+    // Like the platform's load balancer, callers use only entry VMs that were ready at the last check, if there are
+    // any.
+    void handleHealth(std::size_t entryVm, bool ready) { m_ready[entryVm] = ready; }
     void handleKeys(const KeysRequest &request, const std::vector<core::Key> &keys);
 
     bool isDone() const { return m_open == 0 && m_nextArrival == m_jobs.size(); }
@@ -197,12 +212,16 @@
     std::size_t m_firstOpen = 0; // all jobs before it have ended
     std::size_t m_open = 0;
     std::vector<std::int64_t> m_waves; // descending
+    std::vector<bool> m_ready;         // of each entry VM
+    std::int64_t m_nextHealthUs = 0;
     std::map<std::string, std::vector<SpareKey>> m_spareKeys;
     std::map<std::string, bool> m_keysRequested;
     std::map<std::string, std::uint32_t> m_reasons;
     std::uint32_t m_partial = 0;
     std::uint32_t m_rejected = 0;
     std::uint32_t m_resubmissions = 0;
+    std::uint32_t m_cut = 0;
+    std::uint32_t m_notSent = 0;
     std::uint32_t m_cancels = 0;
 };
 
