--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -441,6 +441,7 @@
         job.over = true;
         m_schedulers[m_work.jobs[index].node]->cancelQueued(JobId(index), now());
         for (const std::uint32_t attempt : job.live) {
+            m_schedulers[m_attempts[attempt].node]->noteStopped(m_attempts[attempt].task);
             countMessage();
             countMessage("stop", 1);
             push(m_nowUs + toBackend(m_attempts[attempt]), Kind::Stop, attempt);
