--- a/packages/core/dispatcher_state.h
+++ b/packages/core/dispatcher_state.h
@@ -184,6 +184,7 @@
     void onPeer(Step &step, const PeerMessageReceived &from, BackendLeaving &&message);
 
     // dispatcher.cpp
+    void notePause(Step &step);
     void runDueTimers(Step &step);
     void settle(Step &step); // what follows from any event: views, grants, decisions, timer
     void runDecisions(Step &step);
@@ -193,6 +194,7 @@
 
     // dispatcher_submissions.cpp
     bool joinKnown(Step &step, const Requester &requester, bool wait, const JobRequest &request);
+    void submitUnowned(Step &step, const Requester &requester, bool wait, JobRequest &&request);
     void acceptOrRefuse(Step &step, const Requester &requester, bool wait, JobRequest &&request, bool owned);
     void accept(Step &step, const Requester &requester, bool wait, JobRequest &&request, OrganisationId organisation,
                 TemplateId templateId);
@@ -229,6 +231,7 @@
     void failUnanswered(Step &step, const Requester &requester);
     void endForward(Step &step, std::uint64_t requestId, Answer &&answer);
     bool isReplaced(const detail::Forward &forward) const;
+    bool mayForward(const Now &now) const;
     void noteLink(std::string_view node, Incarnation incarnation);
 
     // dispatcher_attempts.cpp
@@ -312,11 +315,16 @@
     // Draining.
     bool draining = false;
     bool drainFinished = false;
+    std::int64_t drainBegunUs = 0;
     std::int64_t releaseAtMs = 0;
     std::int64_t releaseDueUs = 0;
     std::int64_t idleSinceUs = -1; // -1: jobs are open
+    std::int64_t resumedUs = 0;    // last time that a timer was late
+    std::int64_t drainDueUs = 0;   // the end of the drain is checked again
 
-    std::int64_t timerUs = INT64_MAX; // requested from the process
+    std::int64_t lastEventUs = -1;      // -1: none yet
+    std::int64_t startsHeldUntilUs = 0; // after a pause of the process
+    std::int64_t timerUs = INT64_MAX;   // requested from the process
 };
 
 } // namespace clementinelift::core
--- a/packages/core/dispatcher_streams.cpp
+++ b/packages/core/dispatcher_streams.cpp
@@ -14,7 +14,8 @@
 constexpr std::int64_t grantSettleUs = usPerS; // the first entry VMs to meet must not claim the share of the others
 constexpr std::int64_t configAskPauseUs = usPerS / 2;  // between requests to peers
 constexpr std::int64_t snapshotSpreadUs = 10 * usPerS; // entry VMs append snapshots at different times
-constexpr std::int64_t releaseRetryUs = usPerS;        // until the release is read back
+constexpr std::int64_t resumeSettleUs = 100 * usPerMs;
+constexpr std::int64_t releaseRetryUs = usPerS; // until the release is read back
 
 } // namespace
 
@@ -108,12 +109,13 @@
     bool jumped = false;
     for (const LogRecord &record : read.records)
         jumped = applyConfig(step, record) || jumped;
-    if (jumped && config.nextOffset() < read.nextOffset)
-        step.act(SeekLog{Stream::Config, config.nextOffset()}); // records below the snapshot record were passed over
-    else if (config.nextOffset() < read.nextOffset && read.firstAvailable <= config.nextOffset())
-        step.act(SeekLog{Stream::Config, config.nextOffset()}); // a read got lost
-    if (config.nextOffset() < read.nextOffset)
-        return; // records were dropped: a snapshot follows in the stream, or peers help
+    if (config.nextOffset() < read.nextOffset) {
+        // Records below a snapshot record were passed over, or a read got lost. Otherwise records were dropped: a
+        // snapshot follows in the stream, or peers help.
+        if (jumped || read.firstAvailable <= config.nextOffset())
+            step.act(SeekLog{Stream::Config, config.nextOffset()});
+        return;
+    }
     configDown = configDown && !read.caughtUp;
     if (read.caughtUp && !config.isKnown() && (before > 0 || read.firstAvailable == 0)) {
         config.markKnown();
@@ -225,12 +227,13 @@
     membership.onVmList(event.nodes, step.now, step.actions);
 }
 
+// To every linked entry VM, also one that counts as dead: it may have been paused only, and hears nothing when it goes
+// on.
 void Dispatcher::State::announceLeaving(Step &step, const std::string &backend)
 {
-    for (const NodeInfo &node : membership.live()) {
-        const auto link = links.find(node.name);
-        if (link != links.end() && link->second.up)
-            step.act(SendPeer{node.name, BackendLeaving{backend}});
+    for (const auto &[node, link] : links) {
+        if (link.up)
+            step.act(SendPeer{node, BackendLeaving{backend}});
     }
 }
 
@@ -256,6 +259,7 @@
     if (draining)
         return;
     draining = true;
+    drainBegunUs = step.now.monoUs;
     // No key at or above this issue time was accepted, and none will be: a successor may own them at once.
     releaseAtMs = maxAcceptedIssueMs + 1;
     step.notice(NoticeLevel::Info, "keys",
@@ -280,7 +284,7 @@
     else if (step.now.monoUs >= releaseDueUs)
         appendRelease(step);
 
-    if (jobs.size() > 0 || !forwards.empty() || !attempts.empty()) {
+    if (jobs.size() > 0 || !attempts.empty()) {
         idleSinceUs = -1;
         return;
     }
@@ -290,8 +294,14 @@
     const std::int64_t lingerUs = settings.drainLingerMs * usPerMs;
     // Grants end by themselves when the log is down; waiting for it would keep a VM that is to be replaced.
     const bool mayLeave = released || !everGranted || ownershipDown || lingeredUs >= lingerUs + 10 * releaseRetryUs;
-    if (lingeredUs < lingerUs || !mayLeave)
+    // After a pause the requests that came during it are delivered behind the timer, and still get their answers.
+    drainDueUs = std::max(idleSinceUs + lingerUs, resumedUs + resumeSettleUs);
+    if (step.now.monoUs < drainDueUs)
         return;
+    if (!mayLeave || !forwards.empty()) {
+        drainDueUs = step.now.monoUs + releaseRetryUs;
+        return;
+    }
     drainFinished = true;
     step.notice(NoticeLevel::Info, "keys", released ? "drained" : "drained, the release was not read back");
     step.act(DrainFinished{});
--- a/packages/core/dispatcher_submissions.cpp
+++ b/packages/core/dispatcher_submissions.cpp
@@ -33,6 +33,11 @@
     JobRequest &request = event.request;
     if (joinKnown(step, requester, event.wait, request))
         return;
+    if (drainFinished) {
+        // The process empties its queues before it exits and waits for nothing that is passed on.
+        refuse(step, requester, request, Statement::AttemptNotRun, Reason::Draining);
+        return;
+    }
     if (!config.isKnown() || !ownershipRead) {
         refuse(step, requester, request, Statement::AttemptNotRun, Reason::NotReady);
         return;
@@ -44,6 +49,8 @@
         refuse(step, requester, request, Statement::AttemptNotRun, Reason::KeyTooOld);
     } else if (isOwn(owner)) {
         acceptOrRefuse(step, requester, event.wait, std::move(request), true);
+    } else if (owner.coverage == Coverage::Owned && !mayForward(step.now)) {
+        refuse(step, requester, request, Statement::AttemptNotRun, Reason::Draining);
     } else if (owner.coverage == Coverage::Owned) {
         Forward passed;
         passed.kind = SubmitKind::Submit;
@@ -53,17 +60,23 @@
         passed.deadlineUs = step.now.monoUs + deadlineMsOf(request) * usPerMs;
         passed.request = std::move(request);
         forward(step, std::move(passed), owner);
-    } else if (issueMs > step.now.wallMs + settings.futureSkewMs) {
-        refuse(step, requester, request, Statement::AttemptNotRun, Reason::KeyInFuture);
-    } else if (issueMs < step.now.wallMs - settings.dedupeHorizonMs) {
-        refuse(step, requester, request, Statement::AttemptNotRun, Reason::KeyTooOld);
-    } else if (mayRepeat(request.templateName, step.now)) {
-        acceptOrRefuse(step, requester, event.wait, std::move(request), false);
     } else {
-        refuse(step, requester, request, Statement::AttemptNotRun, Reason::NoGrant);
+        submitUnowned(step, requester, event.wait, std::move(request));
     }
 }
 
+// Nobody owns the key: only templates that allow repeats run.
+void Dispatcher::State::submitUnowned(Step &step, const Requester &requester, bool wait, JobRequest &&request)
+{
+    const std::int64_t issueMs = issueTimeMs(request.key);
+    if (issueMs > step.now.wallMs + settings.futureSkewMs)
+        refuse(step, requester, request, Statement::AttemptNotRun, Reason::KeyInFuture);
+    else if (issueMs < step.now.wallMs - settings.dedupeHorizonMs)
+        refuse(step, requester, request, Statement::AttemptNotRun, Reason::KeyTooOld);
+    else
+        acceptOrRefuse(step, requester, wait, std::move(request), false);
+}
+
 void Dispatcher::State::onPeer(Step &step, const PeerMessageReceived &from, SubmitForward &&message)
 {
     const Requester requester{.node = from.incarnation, .requestId = message.requestId};
@@ -287,10 +300,15 @@
                                                const Key &key, std::int64_t waitMs)
 {
     const OwnerLookup owner = ownership.find(partitionOf(organisation, key), issueTimeMs(key));
-    if (owner.coverage != Coverage::Owned || isOwn(owner)) {
+    if (owner.coverage != Coverage::Owned || isOwn(owner) || drainFinished) {
         answerUnknownKey(step, Requester{.caller = caller});
         return;
     }
+    if (!mayForward(step.now)) {
+        ++counters.refusals[static_cast<std::size_t>(Reason::Draining)];
+        reply(step, Requester{.caller = caller}, makeRefusal(Statement::AttemptNotRun, Reason::Draining));
+        return;
+    }
     Forward passed;
     passed.kind = kind;
     passed.caller = caller;
