Read an unchanged VM list without its body

Reading the list of 50 backend servers twice a second took 18 KB/s for one entry VM, six times its control budget.

--- a/packages/net/codec_wire.cpp
+++ b/packages/net/codec_wire.cpp
@@ -203,28 +203,27 @@
     io.value("serviceUs", slot.serviceUs);
 }
 
-// Reports are most of the control traffic, so their fields have short names on the wire.
 void describe(auto &io, Like<OrganisationDemand> auto &demand)
 {
-    io.text("n", demand.organisation);
-    io.value("r", demand.running);
-    io.value("w", demand.waiting);
-    io.value("s", demand.startsPerS);
+    io.text("organisation", demand.organisation);
+    io.value("running", demand.running);
+    io.value("waiting", demand.waiting);
+    io.value("startsPerS", demand.startsPerS);
 }
 
 void describe(auto &io, Like<DemandReport> auto &report)
 {
-    io.list("o", report.organisations);
+    io.list("organisations", report.organisations);
 }
 
 void describe(auto &io, Like<Report> auto &report)
 {
-    io.value("f", report.freeSlots);
-    io.value("q", report.queuedTasks);
-    io.value("b", report.bestFactor);
-    io.value("c", report.configNext);
-    io.value("o", report.ownershipNext);
-    io.optional("d", report.demand);
+    io.value("freeSlots", report.freeSlots);
+    io.value("queuedTasks", report.queuedTasks);
+    io.value("bestFactor", report.bestFactor);
+    io.value("configNext", report.configNext);
+    io.value("ownershipNext", report.ownershipNext);
+    io.optional("demand", report.demand);
 }
 
 void describe(auto &io, Like<ConfigRequest> auto &request)
--- a/packages/platform/vm_list_client.cpp
+++ b/packages/platform/vm_list_client.cpp
@@ -15,6 +15,7 @@
 
 constexpr net::ParseLimits listLimits{4, 1u << 18};
 constexpr std::size_t maxTextBytes = 128;
+constexpr int statusNotModified = 304;
 constexpr double maxSlots = 4096;
 constexpr double maxConnections = 65536;
 constexpr double maxCores = 4096;
@@ -131,18 +132,24 @@
     request.timeoutMs = m_settings.timeoutMs;
     request.delayMs = delayMs;
     request.repeatable = true;
+    if (!m_tag.empty())
+        request.headers.emplace_back("If-None-Match", m_tag);
     m_http.send(std::move(request), [this](net::HttpResult &&result) { onResult(result); });
 }
 
 void VmListClient::onResult(const net::HttpResult &result)
 {
-    const bool isAnswer = result.outcome == net::HttpOutcome::Answered && result.status == 200;
-    auto list = isAnswer ? decodeVmList(result.body)
-                         : tl::unexpected(DecodeError{"", result.error.empty() ? "refused" : result.error});
-    if (list)
-        m_read(*std::move(list));
-    else
-        m_failed(list.error().place + " " + list.error().detail);
+    const int status = result.outcome == net::HttpOutcome::Answered ? result.status : 0;
+    if (status != statusNotModified || m_tag.empty()) {
+        auto list = status == 200 ? decodeVmList(result.body)
+                                  : tl::unexpected(DecodeError{"", "no list, status=" + std::to_string(status)});
+        if (list) {
+            m_tag = net::findField(result.headers, "ETag");
+            m_read(*std::move(list));
+        } else {
+            m_failed(list.error().place + " " + list.error().detail);
+        }
+    }
     readAfter(m_settings.intervalMs);
 }
 
--- a/packages/platform/vm_list_client.h
+++ b/packages/platform/vm_list_client.h
@@ -33,7 +33,8 @@
     using Read = std::function<void(core::VmListRead &&)>;
     using Failed = std::function<void(std::string_view reason)>;
 
-    // Begins to read at once. http must outlive the client and be stopped before it is destroyed.
+    // read is called for the first list and whenever the list has changed. Begins to read at once. http must outlive
+    // the client and be stopped before it is destroyed.
     VmListClient(const VmListSettings &settings, net::HttpClient &http, Read read, Failed failed);
     VmListClient(const VmListClient &) = delete;
     VmListClient &operator=(const VmListClient &) = delete;
@@ -46,6 +47,7 @@
     net::HttpClient &m_http;
     Read m_read;
     Failed m_failed;
+    std::string m_tag; // of the last list that was taken, from the VM list
 };
 
 } // namespace clementinelift::platform
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -237,7 +237,7 @@
     }
     net::HttpAnswer answer = errorAnswer(404, "unknown path");
     if (path == "/v1/vms")
-        answer = answerVms();
+        answer = answerVms(request);
     else if (path == "/control" && request.method == "POST")
         answer = answerControl(request.body);
     else if (path == "/control/audit" && request.method == "POST")
@@ -303,7 +303,7 @@
     return jsonAnswer(200, {{"first_available", result->firstAvailable}, {"end", result->end}, {"records", records}});
 }
 
-net::HttpAnswer Platform::answerVms()
+net::HttpAnswer Platform::answerVms(const net::HttpRequest &request)
 {
     const std::lock_guard lock(m_mutex);
     const std::int64_t nowUs = monotonicUs();
@@ -325,7 +325,12 @@
         }
         vms.push_back(std::move(entry));
     }
-    return jsonAnswer(200, {{"vms", vms}});
+    net::HttpAnswer answer = jsonAnswer(200, {{"vms", vms}});
+    const std::string tag = '"' + std::to_string(std::hash<std::string>()(answer.body)) + '"';
+    if (net::findField(request.headers, "If-None-Match") == tag)
+        answer = {304, ""};
+    answer.headers.emplace_back("ETag", tag);
+    return answer;
 }
 
 // Control -------------------------------------------------------------------------------------------
--- a/tests/standins/platform.h
+++ b/tests/standins/platform.h
@@ -81,7 +81,7 @@
     void appendRecord(net::HttpCall call, std::string_view stream, const net::HttpRequest &request);
     void readRecords(net::HttpCall call, std::string_view stream, const net::HttpRequest &request);
     net::HttpAnswer answerRead(const WaitingRead &read, std::int64_t nowUs);
-    net::HttpAnswer answerVms();
+    net::HttpAnswer answerVms(const net::HttpRequest &request);
     net::HttpAnswer answerControl(const std::string &body);
     net::HttpAnswer answerAudit(const std::string &body);
     std::string applyControl(const nlohmann::json &command, std::int64_t nowUs); // empty: applied, else the error
--- a/tests/unit/net/codec_test.cpp
+++ b/tests/unit/net/codec_test.cpp
@@ -36,10 +36,11 @@
             SlotGrant{9, "b-01", 500},
             SlotRefuse{10},
             SlotReturn{11, true, AttemptOutcome::Unknown, 4000},
-            Report{1, 2, 1.5F, 3, 4, {{"north", 5, 6, 7.5F}}},
+            Report{1, 2, 1.5F, 3, 4, DemandReport{{{"north", 5, 6, 7.5F}}}},
             ConfigRequest{12},
             records,
             ConfigRecords{},
+            Report{},
             BackendLeaving{"b-02"}};
 }
 
@@ -96,7 +97,7 @@
 // Guards against periodic messages that exceed the control budget of 3 KB/s by names of fields.
 TEST_CASE("periodic peer messages are short")
 {
-    CHECK(encodePeerMessage(Report{100, 200, 1.5F, 3000, 4000, {{"north", 50, 60, 7.5F}}}).size() <= 40);
+    CHECK(encodePeerMessage(Report{100, 200, 1.5F, 3000, 4000, DemandReport{{{"north", 50, 60, 7.5F}}}}).size() <= 40);
     CHECK(encodePeerMessage(Probe{1000, 1733288000000, {}}).size() <= 20);
 }
 
--- a/tests/unit/net/platform_test.cpp
+++ b/tests/unit/net/platform_test.cpp
@@ -39,6 +39,11 @@
         m_set.notify_all();
     }
     std::string url() const { return "http://127.0.0.1:" + std::to_string(m_server->port()); }
+    std::vector<std::string> tags()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_tags;
+    }
     std::vector<std::string> queries()
     {
         const std::lock_guard lock(m_mutex);
@@ -50,6 +55,8 @@
     {
         m_set.wait(false);
         const std::lock_guard lock(m_mutex);
+        if (!m_answers.empty())
+            m_tags.push_back(std::string(findField(request.headers, "If-None-Match")));
         m_queries.push_back(std::string(findField(request.query, "from")) + "/"
                             + std::string(findField(request.query, "wait_ms")));
         if (m_answers.empty())
@@ -62,6 +69,7 @@
     std::mutex m_mutex;
     std::deque<HttpAnswer> m_answers;
     std::vector<std::string> m_queries;
+    std::vector<std::string> m_tags; // of the requests that were answered
     std::unique_ptr<HttpServer> m_server;
 };
 
@@ -203,6 +211,26 @@
     CHECK_FALSE(decodeLogPage(core::Stream::Config, 0, "[]"));
 }
 
+// Guards against 50 backend servers that are read, sent and decoded twice a second although nothing has changed.
+TEST_CASE("an unchanged VM list is read once")
+{
+    HttpAnswer first{200, R"({"vms":[]})"};
+    first.headers.emplace_back("ETag", "\"1\"");
+    HttpAnswer second = first;
+    second.headers[0].second = "\"2\"";
+    ScriptedServer server({first, {304, ""}, {304, ""}, second});
+    HttpClient http({});
+    Reports reports;
+    int lists = 0;
+    int failures = 0;
+    VmListClient client(
+            {server.url(), 1, 5000}, http, [&](core::VmListRead &&) { reports.change([&] { ++lists; }); },
+            [&](std::string_view) { reports.change([&] { ++failures; }); });
+    CHECK(reports.waitFor([&] { return lists == 2; }));
+    http.stop();
+    CHECK(server.tags() == std::vector<std::string>{"", "\"1\"", "\"1\"", "\"1\""});
+}
+
 // Guards against lists that lose VMs without a word: a missing backend server counts as gone.
 TEST_CASE("a VM list is taken as a whole or not at all")
 {
