Answer a forwarded submission whose answer exceeds a frame

The peer closes a link on a frame over the bound, so such an answer would have closed it after every repetition and never arrived. It is now sent as failed with reason answer_dropped; other oversized messages are dropped and logged.

--- a/packages/dispatcher/daemon.cpp
+++ b/packages/dispatcher/daemon.cpp
@@ -78,6 +78,21 @@
     return settings;
 }
 
+// An answer that no frame can hold becomes a failure that says so. False: nothing can stand for the message.
+bool replaceOversized(core::PeerMessage &message)
+{
+    auto *result = std::get_if<core::SubmitResult>(&message);
+    if (result == nullptr)
+        return false;
+    result->answer = {core::AnswerKind::Failed,
+                      core::Statement::None,
+                      core::Effects::Possible,
+                      core::Reason::AnswerDropped,
+                      {},
+                      "the answer is larger than a peer message"};
+    return true;
+}
+
 net::HttpServerSettings makeServerSettings(const config::ProcessSettings &settings)
 {
     return {settings.callerAddress, settings.maxBodyBytes, settings.maxHeaderBytes, settings.maxConnections,
@@ -386,6 +401,14 @@
 void Daemon::State::act(core::SendPeer &&action)
 {
     std::string bytes = net::encodePeerMessage(action.message);
+    if (bytes.size() > settings.maxFrameBytes) {
+        // The peer would close the link, and again after every repetition.
+        dispatcher::log(NoticeLevel::Warning, "peers",
+                        "message too large node=" + action.node + " bytes=" + std::to_string(bytes.size()));
+        if (!replaceOversized(action.message))
+            return;
+        bytes = net::encodePeerMessage(action.message);
+    }
     Traffic &traffic = counters.peerSent[net::peerMessageName(action.message)];
     ++traffic.messages;
     traffic.bytes += bytes.size();
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -226,8 +226,11 @@
     Transfer &self = *transfer;
     const HttpClientRequest &request = self.request;
     self.maxAnswerBytes = settings.maxAnswerBytes;
-    for (const auto &[name, value] : request.headers)
-        self.fields = curl_slist_append(self.fields, (name + ": " + value).c_str());
+    std::string line;
+    for (const auto &[name, value] : request.headers) {
+        line.assign(name).append(": ").append(value);
+        self.fields = curl_slist_append(self.fields, line.c_str());
+    }
     self.fields = curl_slist_append(self.fields, "Expect:"); // no round trip before the body
     self.fields = curl_slist_append(self.fields, "Content-Type: application/octet-stream");
 
