Copy empty lines of INI files without a null pointer

An empty line has no data, and the memmove behind std::copy must not get a null pointer; the undefined-behaviour sanitizer reported it in every start of the daemon.

--- a/packages/config/ini_reader.cpp
+++ b/packages/config/ini_reader.cpp
@@ -87,7 +87,7 @@
         if (!isUsable(line))
             line = {};
         assert(line.size() + 2 <= static_cast<std::size_t>(size));
-        std::copy(line.begin(), line.end(), buffer);
+        line.copy(buffer, line.size());
         buffer[line.size()] = '\n';
         buffer[line.size() + 1] = '\0';
         return buffer;
