--- a/packages/core/dispatcher.cpp
+++ b/packages/core/dispatcher.cpp
@@ -9,7 +9,7 @@
 
 constexpr int maxDecisionRounds = 16;                // drops may lead to further decisions
 constexpr std::int64_t pauseUs = usPerS;             // without events: the process was paused
-constexpr std::int64_t startsHeldUs = 100 * usPerMs; // after a pause
+constexpr std::int64_t startsHeldUs = 500 * usPerMs; // after a pause
 constexpr std::int64_t lateTimerUs = 10 * usPerMs;   // a timer that is later means that the process was paused
 constexpr std::int64_t minTimerUs = 1000; // a part whose work is bounded by a round continues after this time
 constexpr std::uint64_t requestIdMix = 0x9e3779b97f4a7c15;
