--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -1,11 +1,12 @@
 // Compares the shipped scheduler with baselines and with a perfect central queue, in virtual time. Same bytes on every
 // run.
 //
-//     policy_bench [--quick] [--csv FILE] [--plots DIRECTORY] [--case NAME]
+//     policy_bench [--quick] [--csv FILE] [--plots DIRECTORY] [--case PREFIX]
 //
 // Exit status 0: ran; the column "target" says which targets of section 13 of the design are met.
 
 #include "bench/cases.h"
+#include "bench/plots.h"
 #include "bench/simulation.h"
 
 #include <atomic>
@@ -247,22 +248,109 @@
     }
 }
 
+const std::vector<std::string> &policyNames()
+{
+    static const std::vector<std::string> names = [] {
+        std::vector<std::string> result;
+        for (const Policy &policy : policies())
+            result.push_back(policy.name);
+        return result;
+    }();
+    return names;
+}
+
+const Row *findRow(const std::vector<Row> &rows, std::string_view name, std::string_view policy)
+{
+    const auto row = std::find_if(rows.begin(), rows.end(), [&](const Row &candidate) {
+        return candidate.caseName == name && candidate.policy == policy;
+    });
+    return row == rows.end() ? nullptr : &*row;
+}
+
+template <typename Value>
+void plotBars(const std::string &path, const std::string &title, const std::vector<Row> &rows,
+              const std::vector<std::string> &names, bool withCentral, bool logarithmic, Value value)
+{
+    std::vector<Series> series;
+    for (const std::string &policy : policyNames()) {
+        if (policy == "central" && !withCentral)
+            continue;
+        series.push_back({policy, {}});
+        for (const std::string &name : names) {
+            const Row *row = findRow(rows, name, policy);
+            if (row == nullptr)
+                return;
+            series.back().values.push_back(value(*row));
+        }
+    }
+    std::ofstream(path) << barChart(title, names, series, logarithmic);
+}
+
+void plotGoodput(const std::string &path, const std::string &title, const std::vector<Row> &rows, std::string_view name)
+{
+    constexpr std::size_t from = 30;
+    constexpr std::size_t to = 65;
+    std::vector<Series> series;
+    for (const std::string &policy : policyNames()) {
+        const Row *row = findRow(rows, name, policy);
+        if (row == nullptr)
+            return;
+        series.push_back({policy, {}});
+        const auto &done = row->result.doneWork;
+        const auto &offered = row->result.offeredWork;
+        for (std::size_t i = from; i < to; ++i)
+            series.back().values.push_back(100 * done[i] / offered[i]);
+    }
+    std::ofstream(path) << lineChart(title, from, series);
+}
+
+void writePlots(const std::string &directory, const std::vector<Row> &rows)
+{
+    const std::vector<std::string> steady = {"steady 50% vm6", "steady 70% vm6", "steady 85% vm6", "steady 95% vm6"};
+    const std::vector<std::string> others = {
+            "burst",      "dip one rack",      "dip three racks",   "dip two racks of 6", "fail everything",
+            "stragglers", "misdeclared sizes", "cancellation wave", "organisation burst"};
+    const std::vector<std::string> weights = {"weight 0 50%", "weight 1 50%", "weight 0 70%",
+                                              "weight 1 70%", "weight 0 85%", "weight 1 85%"};
+    const auto p50 = [](const Row &row) { return row.p50; };
+    const auto p99 = [](const Row &row) { return row.p99; };
+    const auto wasted = [](const Row &row) { return 100 * row.wastedShare; };
+    plotBars(directory + "/steady_p50.svg", "p50 of response time over ideal, steady load", rows, steady, true, false,
+             p50);
+    plotBars(directory + "/steady_p99.svg", "p99 of response time over ideal, steady load", rows, steady, true, true,
+             p99);
+    plotBars(directory + "/steady_wasted.svg", "wasted messages in % of task messages, steady load", rows, steady,
+             false, false, wasted);
+    plotBars(directory + "/cases_p99.svg", "p99 of response time over ideal", rows, others, true, true, p99);
+    plotBars(directory + "/cases_wasted.svg", "wasted messages in % of task messages", rows, others, false, false,
+             wasted);
+    plotBars(directory + "/weight_p99.svg", "p99 of response time over ideal by response weight", rows, weights, true,
+             true, p99);
+    plotBars(directory + "/weight_wasted.svg", "wasted messages in % by response weight", rows, weights, false, false,
+             wasted);
+    plotGoodput(directory + "/dip_goodput.svg",
+                "completed work in % of offered work, three racks dip from 40 s to 50 s", rows, "dip three racks");
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     bool quick = false;
     std::string csv;
+    std::string plots;
     std::string only;
     for (int i = 1; i < argc; ++i) {
         if (std::strcmp(argv[i], "--quick") == 0)
             quick = true;
         else if (std::strcmp(argv[i], "--csv") == 0 && i + 1 < argc)
             csv = argv[++i];
+        else if (std::strcmp(argv[i], "--plots") == 0 && i + 1 < argc)
+            plots = argv[++i];
         else if (std::strcmp(argv[i], "--case") == 0 && i + 1 < argc)
             only = argv[++i];
         else {
-            std::fprintf(stderr, "usage: policy_bench [--quick] [--csv FILE] [--case PREFIX]\n");
+            std::fprintf(stderr, "usage: policy_bench [--quick] [--csv FILE] [--plots DIRECTORY] [--case PREFIX]\n");
             return 2;
         }
     }
@@ -303,5 +391,7 @@
     print(rows);
     if (!csv.empty())
         writeCsv(csv, rows);
+    if (!plots.empty())
+        writePlots(plots, rows);
     return 0;
 }
