--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -78,16 +78,16 @@
 
 struct Result
 {
-    std::vector<double> ratios;                        // response time over size, completed tasks after warm-up
-    std::vector<double> organisationRatios[2];         // the same of organisations 0 and 1
-    std::map<std::string, std::uint64_t> refusals;     // tasks by reason
-    std::map<std::string, std::uint64_t> wastedByKind; // messages
-    std::vector<double> offeredWork;                   // size of arrivals by second
-    std::vector<double> doneWork;                      // size of completed tasks by second of completion
-    std::vector<double> doneElsewhere;                 // the same on backend servers that no fault ever hits
-    std::vector<std::uint64_t> attempts;               // by second
-    std::vector<std::uint64_t> firstAttempts;          // by second
-    std::uint64_t tasks = 0;                           // offered after warm-up
+    std::vector<double> ratios;                            // response time over size, completed tasks after warm-up
+    std::array<std::vector<double>, 2> organisationRatios; // the same of organisations 0 and 1
+    std::map<std::string, std::uint64_t> refusals;         // tasks by reason
+    std::map<std::string, std::uint64_t> wastedByKind;     // messages
+    std::vector<double> offeredWork;                       // size of arrivals by second
+    std::vector<double> doneWork;                          // size of completed tasks by second of completion
+    std::vector<double> doneElsewhere;                     // the same on backend servers that no fault ever hits
+    std::vector<std::uint64_t> attempts;                   // by second
+    std::vector<std::uint64_t> firstAttempts;              // by second
+    std::uint64_t tasks = 0;                               // offered after warm-up
     std::uint64_t completed = 0;
     std::uint64_t failed = 0; // tasks of jobs that failed after they were accepted
     std::uint64_t messages = 0;
--- a/packages/core/basic_scheduler.h
+++ b/packages/core/basic_scheduler.h
@@ -2,7 +2,7 @@
 //
 // Contents
 //   BasicScheduler   see scheduler.h for the meaning of each call
-//   Definitions      views, admission, queue, starts, ends, borrowing, timers
+//   Definitions      in basic_scheduler_{views,tasks,borrowing}.h
 #pragma once
 
 #include "core/scheduler.h"
@@ -25,11 +25,10 @@
 constexpr std::int64_t requestTimeoutUs = 50 * usPerMs;
 constexpr std::int64_t loanMarginMs = 1000; // a loan outlives the deadline of its task by this
 constexpr std::int64_t reportStaleUs = 2 * usPerS;
-constexpr double noOfferFactor = 6;     // stands for no free slot
-constexpr double offerRate = 0.05;      // of the smoothed offer, for each call of decide()
-constexpr double grantedRate = 0.1;     // of the smoothed share of granted requests
-constexpr double grantedForget = 0.005; // with each report, so that a peer that refused is asked again
-constexpr double leastGain = -9;
+constexpr double noOfferFactor = 6;      // stands for no free slot
+constexpr double offerRate = 0.05;       // of the smoothed offer, for each call of decide()
+constexpr double grantedRate = 0.1;      // of the smoothed share of granted requests
+constexpr double grantedForget = 0.005;  // with each report, so that a peer that refused is asked again
 constexpr double leastWasted = 0.002;    // target for the share of wasted messages at response weight 0
 constexpr double wastedPerWeight = 0.08; // added for each unit of response weight
 constexpr double mostWasted = 0.042;     // the rest up to 5% is left to failures that nobody chooses
@@ -212,4 +211,6 @@
 
 } // namespace clementinelift::core
 
-#include "core/basic_scheduler_impl.h"
+#include "core/basic_scheduler_borrowing.h"
+#include "core/basic_scheduler_tasks.h"
+#include "core/basic_scheduler_views.h"
--- a/packages/core/messages.h
+++ b/packages/core/messages.h
@@ -142,7 +142,7 @@
     std::string templateName;
     float cores = 0;
     std::uint32_t memoryMb = 0;
-    std::uint32_t maxServiceUs = 0; // no use for a slot that is expected to take longer; 0: any
+    std::uint32_t maxServiceUs = 0; // no use for a slot that is expected to take longer; 0: any, even some ms later
 };
 
 // Lends one slot until slotReturn or leaseMs have passed.
--- a/packages/core/slots.h
+++ b/packages/core/slots.h
@@ -57,6 +57,14 @@
     return TaskShape{job.templateId, task.declaredUs, task.cores, task.memoryMb};
 }
 
+// What the task declares, completed with the values of its template.
+inline TaskShape shapeOf(const TaskRequest &task, const TaskShape &byDefault)
+{
+    return TaskShape{byDefault.templateId, task.runMs > 0 ? task.runMs * double(usPerMs) : byDefault.declaredUs,
+                     task.cores > 0 ? task.cores : byDefault.cores,
+                     task.memoryMb > 0 ? task.memoryMb : byDefault.memoryMb};
+}
+
 // Peers ---------------------------------------------------------------------------------------------
 
 // Ranges of the time on an own slot over the reported time on a peer's, each for few, some and many free slots there:
--- a/tests/unit/core/limits_test.cpp
+++ b/tests/unit/core/limits_test.cpp
@@ -16,6 +16,7 @@
 std::vector<NodeInfo> makeNodes(int count)
 {
     std::vector<NodeInfo> nodes;
+    nodes.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         nodes.push_back(NodeInfo{"e-" + std::to_string(i), "", "z1", Incarnation(i + 1), false});
     return nodes;
@@ -77,6 +78,7 @@
         const int count = *rc::gen::inRange(1, 9);
         const auto nodes = makeNodes(count);
         std::vector<std::uint32_t> demand;
+        demand.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
             demand.push_back(*rc::gen::inRange<std::uint32_t>(0, 500));
         const bool cutOff = *rc::gen::arbitrary<bool>();
