Count corrections of groups

Cause: the counter was declared but never raised. Change: the breaker board counts moves between groups.

--- a/packages/core/basic_scheduler_tasks.h
+++ b/packages/core/basic_scheduler_tasks.h
@@ -143,6 +143,7 @@
     }
     const bool wasOpen = m_breakers.state(backend) != BreakerState::Closed;
     m_breakers.onEnd(backend, signal, startUs, nowUs);
+    m_counters.groupCorrections = m_breakers.corrections();
     m_counters.breakerTrips += !wasOpen && m_breakers.state(backend) == BreakerState::Open ? 1 : 0;
 }
 
--- a/packages/core/breaker.cpp
+++ b/packages/core/breaker.cpp
@@ -312,8 +312,10 @@
 // Records the trip for the correction of groups.
 void BreakerBoard::trip(BackendId id, std::int64_t nowUs)
 {
-    for (const GroupMove &moved : m_groups.onTrip(id, nowUs))
+    for (const GroupMove &moved : m_groups.onTrip(id, nowUs)) {
         move(moved.backend, moved.from);
+        ++m_corrections;
+    }
 }
 
 void BreakerBoard::open(Breaker &breaker, std::int64_t nowUs)
--- a/packages/core/breaker.h
+++ b/packages/core/breaker.h
@@ -98,6 +98,8 @@
     void onTimer(std::int64_t nowUs, std::vector<BackendId> &probes);
     std::int64_t nextTimerUs() const { return m_nextTimerUs; }
 
+    std::uint64_t corrections() const { return m_corrections; } // moves between groups since the start
+
     // Backend servers whose allowed() may have changed since the last call.
     void takeChanged(std::vector<BackendId> &changed);
 
@@ -154,6 +156,7 @@
     std::vector<Group> m_groupStates;
     absl::flat_hash_map<std::string, std::uint32_t> m_byRack;
     GroupCorrector m_groups;
+    std::uint64_t m_corrections = 0;
     std::vector<BackendId> m_changed;
     std::int64_t m_nextTimerUs = INT64_MAX;
     std::mt19937_64 m_random;
--- a/tests/unit/core/scheduler_test.cpp
+++ b/tests/unit/core/scheduler_test.cpp
@@ -39,6 +39,7 @@
     REQUIRE(rc::check([] {
         const auto count = *rc::gen::inRange(1, 9);
         std::vector<NodeInfo> nodes;
+        nodes.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
             nodes.push_back(makeNode("e-" + std::to_string(i)));
         const auto slots = *rc::gen::inRange<std::uint32_t>(1, 17);
@@ -218,6 +219,7 @@
         f.settings.seed = *rc::gen::arbitrary<std::uint64_t>();
         Scheduler scheduler(f.settings, f.configuration);
         std::vector<BackendInfo> backends;
+        backends.reserve(4);
         for (int i = 0; i < 4; ++i)
             backends.push_back(makeBackend("b-" + std::to_string(i), "r" + std::to_string(i / 2), 3));
         scheduler.setBackends(backends, f.now);
