--- a/packages/core/dispatcher_streams.cpp
+++ b/packages/core/dispatcher_streams.cpp
@@ -127,12 +127,12 @@
 bool Dispatcher::State::applyConfig(Step &step, const LogRecord &record)
 {
     const std::uint64_t generation = config.generation();
-    bool jumped = false;
-    if (const auto *snapshot = std::get_if<SnapshotRecord>(&record.body)) {
-        jumped = config.apply(*snapshot);
-        snapshotDueUs = 0;
-    }
+    const std::int64_t before = config.nextOffset();
     config.apply(record);
+    const bool isSnapshot = std::holds_alternative<SnapshotRecord>(record.body);
+    const bool jumped = isSnapshot && before < record.offset && config.nextOffset() > before;
+    if (isSnapshot)
+        snapshotDueUs = 0;
     if (config.generation() != generation) {
         // What was in the log before the start of this process is known everywhere.
         noteTemplates(jumped || !config.isKnown() ? 0 : record.timeMs);
--- a/tests/unit/core/dispatcher_race_test.cpp
+++ b/tests/unit/core/dispatcher_race_test.cpp
@@ -507,3 +507,17 @@
         CHECK(cluster.answerCount(caller) == 1);
     CHECK(cluster.answer(callers.front()).kind == AnswerKind::Complete);
 }
+
+// Guards G8: a snapshot that claims records after itself would make the entry VM skip accepted changes.
+TEST_CASE("a snapshot record that covers records after itself is not applied")
+{
+    Cluster cluster(1);
+    const auto next = static_cast<std::int64_t>(cluster.config.size());
+    SnapshotRecord snapshot = cluster.core(0).configuration().snapshot();
+    snapshot.nextOffset += 100;
+    cluster.append(Stream::Config, std::move(snapshot));
+    cluster.publish("template/later", "never");
+    cluster.advance(1000);
+    CHECK(cluster.core(0).configuration().nextOffset() == next + 2);
+    CHECK(cluster.core(0).configuration().findTemplate("later"));
+}
