--- a/tests/process/cluster.sh
+++ b/tests/process/cluster.sh
@@ -228,3 +228,18 @@
         wait_process "$name" || fail "$name ended with exit code $?: $(tail -n 3 "$run_dir/$name.log")"
     done
 }
+
+# Kills one of four entry VMs under a load of jobs of the template NAME:KIND and replaces it. IMPATIENT is the share of callers
+# that resubmit before they have an answer.
+kill_under_load()
+{
+    templates=$1
+    start_cluster 2 2 --backends=16
+    start_load --jobs=320 --rate=40 --deadline-ms=6000 --resubmit-ms=7000 --impatient="$2"
+    sleep 2
+    signal_process e-2 KILL
+    wait_process e-2 || true
+    sleep 1
+    start_entry_vm e-2
+    require_clean_load
+}
--- a/tests/process/kill_repeatable.sh
+++ b/tests/process/kill_repeatable.sh
@@ -3,12 +3,4 @@
 # repeat, so another entry VM runs them.
 set -euo pipefail
 . "$(dirname "$0")/cluster.sh"
-templates=quote:allowed
-start_cluster 2 2 --backends=16
-start_load --jobs=320 --rate=40 --deadline-ms=6000 --resubmit-ms=7000 --impatient=0.3
-sleep 2
-signal_process e-2 KILL
-wait_process e-2 || true
-sleep 1
-start_entry_vm e-2
-require_clean_load
+kill_under_load quote:allowed 0.3
