Say in /status why a backend server gets no tasks

Cause: operators saw breaker states but had to know what they mean. Change: held_back in words for each backend server; leaving_backend.sh checks it.

--- a/packages/dispatcher/status.cpp
+++ b/packages/dispatcher/status.cpp
@@ -22,6 +22,24 @@
     }
 }
 
+// Why a backend server gets no or few tasks, in words; empty when nothing holds it back.
+std::string_view explainHold(const core::BackendStatus &backend)
+{
+    if (backend.leaving)
+        return "leaving: gets no new task";
+    if (backend.groupBreaker == core::BreakerState::Open)
+        return "its group fails: no task until the next probe";
+    if (backend.groupBreaker == core::BreakerState::Probing)
+        return "its group failed: one probe and one task decide";
+    if (backend.breaker == core::BreakerState::Open)
+        return "failed or out of reach: no task until the next probe";
+    if (backend.breaker == core::BreakerState::Probing)
+        return "failed or out of reach: one probe and one task decide";
+    if (backend.held == 0)
+        return "its slots are held by other entry VMs";
+    return "";
+}
+
 Json writeBackends(const std::vector<core::BackendStatus> &backends)
 {
     Json list = Json::array();
@@ -36,7 +54,8 @@
                             {"factor", backend.factor},
                             {"group", backend.group},
                             {"breaker", nameOf(backend.breaker)},
-                            {"leaving", backend.leaving}});
+                            {"leaving", backend.leaving},
+                            {"held_back", explainHold(backend)}});
     }
     return list;
 }
--- a/tests/process/leaving_backend.sh
+++ b/tests/process/leaving_backend.sh
@@ -10,3 +10,5 @@
 require_clean_load
 [ "$(count_of /backends/0/starts)" -gt 0 ] || fail "b-1 had no work before it left"
 [ "$(count_of /totals/late_starts)" -eq 0 ] || fail "$(count_of /totals/late_starts) tasks started on a leaving backend server"
+curl -sf -m 5 -o "$run_dir/status" "http://${caller_address[e-1]}/status" || fail "no /status of e-1"
+grep -q 'leaving: gets no new task' "$run_dir/status" || fail "/status of e-1 does not say why b-1 and b-2 get no task"
