Run repeatable jobs of a lost owner at one substitute, after its leases

Cause: after the loss of a key's owner each entry VM that held a copy of a submission ran the job itself, at once: copies overlapped with each other and with attempts of the lost owner, whose leases lasted until the job's deadline. Change: rendezvous hashing over the live entry VMs chooses one substitute, to which the others pass their copies. It accepts the job and starts nothing before the leases of the lost owner's attempts have ended; attempts of repeatable tasks get a lease of 8 times their declared time, at least 2 s. Left: on both sides of a partition repeatable jobs still run, as an isolated zone goes on serving (docs/PROOFS.md).

--- a/packages/core/dispatcher.cpp
+++ b/packages/core/dispatcher.cpp
@@ -104,6 +104,10 @@
         case TimerKind::JobDeadline:
             onDeadline(step, JobId(timer.id));
             break;
+        case TimerKind::JobStart:
+            if (Job *job = jobs.find(JobId(timer.id)))
+                enqueueJob(step, *job);
+            break;
         case TimerKind::WaiterTimeout:
             onWaiterTimeout(step, JobId(timer.id), timer.serial);
             break;
--- a/packages/core/dispatcher_attempts.cpp
+++ b/packages/core/dispatcher_attempts.cpp
@@ -15,6 +15,9 @@
 // A request that was cut off may still be read by the backend server, 200 ms later in runs of the fuzzer. Only when the
 // backend server says for this long that it does not know the attempt, it is taken as not running.
 constexpr std::int64_t notKnownUs = usPerS;
+// Of a repeatable task: backend servers differ by a factor of 4 in speed and declared times are off by up to 2.
+constexpr std::int64_t leaseFactor = 8;
+constexpr std::int64_t leastLeaseMs = 2000; // for tasks that are declared much too short
 
 RetryReason retryReasonOf(AttemptOutcome outcome)
 {
@@ -71,15 +74,28 @@
     job->trace.add(step.now.wallMs, TraceStep::Started, decision.task.index, raw(decision.backend));
 
     const BackendInfo &backend = scheduler.backend(decision.backend);
-    step.act(StartAttempt{.attempt = {settings.self.incarnation, sequence},
-                          .backend = decision.backend,
-                          .backendName = backend.name,
-                          .address = backend.address,
-                          .organisation = job->organisation,
-                          .templateName = job->templateName,
-                          // A copy: the task is sent again when this attempt does not start.
-                          .payload = job->requests[decision.task.index].payload,
-                          .leaseMs = std::max<std::int64_t>(1, (job->deadlineUs - step.now.monoUs) / usPerMs)});
+    step.act(StartAttempt{
+            .attempt = {settings.self.incarnation, sequence},
+            .backend = decision.backend,
+            .backendName = backend.name,
+            .address = backend.address,
+            .organisation = job->organisation,
+            .templateName = job->templateName,
+            // A copy: the task is sent again when this attempt does not start.
+            .payload = job->requests[decision.task.index].payload,
+            .leaseMs = std::clamp<std::int64_t>((job->deadlineUs - step.now.monoUs) / usPerMs, 1,
+                                                attemptLeaseMs(job->requests[decision.task.index], job->templateId))});
+}
+
+// Longest time that an attempt may run. After the loss of an entry VM others run its repeatable jobs again once these
+// leases have ended. Jobs that never repeat need no such bound.
+std::int64_t Dispatcher::State::attemptLeaseMs(const TaskRequest &task, TemplateId templateId) const
+{
+    const TemplateParameters &parameters = config.parameters(templateId);
+    if (parameters.repeat != Repeat::Allowed)
+        return parameters.deadlineMs;
+    const std::int64_t declaredMs = task.runMs > 0 ? task.runMs : parameters.runMs;
+    return std::max(leastLeaseMs, leaseFactor * declaredMs);
 }
 
 // Ends ----------------------------------------------------------------------------------------------
--- a/packages/core/dispatcher_forwards.cpp
+++ b/packages/core/dispatcher_forwards.cpp
@@ -13,6 +13,11 @@
 constexpr std::size_t maxReplaced = 4096;              // owners whose keys are within the horizon are far fewer
 constexpr std::uint32_t maxBackoffShift = 4;           // a forward is sent again after 1, 2, 4, 8, 16 times the timeout
 
+bool isSubmission(SubmitKind kind)
+{
+    return kind == SubmitKind::Submit || kind == SubmitKind::Substitute;
+}
+
 } // namespace
 
 // Forwards ------------------------------------------------------------------------------------------
@@ -49,7 +54,7 @@
         return;
     Forward &forward = found->second;
     const std::int64_t nowUs = step.now.monoUs;
-    const bool submits = forward.kind == SubmitKind::Submit;
+    const bool submits = isSubmission(forward.kind);
     const auto link = links.find(forward.ownerNode);
     const bool linked = link != links.end() && link->second.up;
     const bool connected = linked && link->second.incarnation == forward.owner;
@@ -60,8 +65,8 @@
     const bool gone = replaced || membership.isDead(forward.owner);
 
     if (nowUs >= forward.answerByUs || (gone && !connected && (replaced || !forward.handedToLink || !submits))) {
-        if (mayRunHere(forward, step.now))
-            runForwardHere(step, requestId, forward.handedToLink);
+        if (mayRunElsewhere(forward, step.now))
+            runElsewhere(step, requestId);
         else
             giveUpForward(step, requestId, gone ? Reason::OwnerGone : Reason::OwnerUnreachable);
         return;
@@ -85,12 +90,12 @@
                                           .zone = {},
                                           .incarnation = forward.owner}});
     }
-    if (mayRunHere(forward, step.now)) {
+    if (mayRunElsewhere(forward, step.now)) {
         const std::int64_t patienceUs =
                 std::min(settings.forwardTimeoutMs * usPerMs, (forward.deadlineUs - forward.unreachableSinceUs) / 4);
         const std::int64_t runAtUs = forward.unreachableSinceUs + patienceUs;
         if (nowUs >= runAtUs || gone) {
-            runForwardHere(step, requestId, forward.handedToLink);
+            runElsewhere(step, requestId);
             return;
         }
         armForward(requestId, forward, std::min(runAtUs, forward.answerByUs));
@@ -117,13 +122,13 @@
 {
     SubmitForward message{.requestId = requestId,
                           .kind = forward.kind,
-                          .waitMs = forward.kind == SubmitKind::Submit ? (forward.wait ? 0 : -1) : forward.waitMs,
+                          .waitMs = isSubmission(forward.kind) ? (forward.wait ? 0 : -1) : forward.waitMs,
                           .request = forward.request};
-    if (forward.kind == SubmitKind::Submit)
+    if (isSubmission(forward.kind))
         message.request.deadlineMs = std::max<std::int64_t>(1, (forward.deadlineUs - step.now.monoUs) / usPerMs);
     step.act(SendPeer{forward.ownerNode, std::move(message)});
     membership.wantLink(forward.ownerNode, step.now, step.actions);
-    if (forward.kind == SubmitKind::Submit)
+    if (isSubmission(forward.kind))
         ++counters.forwardsSent;
     const std::uint32_t shift = std::min(forward.sends, maxBackoffShift);
     forward.nextSendUs = step.now.monoUs + ((settings.forwardTimeoutMs + forward.waitMs) * usPerMs << shift);
@@ -141,13 +146,86 @@
 }
 
 // The template allowed repeats at the submission and allows them now.
-bool Dispatcher::State::mayRunHere(const Forward &forward, const Now &now) const
+bool Dispatcher::State::mayRunElsewhere(const Forward &forward, const Now &now) const
+{
+    return forward.mayRepeat && now.monoUs < forward.deadlineUs && mayRepeat(forward.request.templateName, now);
+}
+
+// All entry VMs that see the same peers choose the same substitute for a key, so that the copies of a submission meet
+// there and run once.
+std::optional<NodeInfo> Dispatcher::State::chooseSubstitute(const Forward &forward) const
 {
-    return forward.kind == SubmitKind::Submit && forward.mayRunHere && now.monoUs < forward.deadlineUs
-            && mayRepeat(forward.request.templateName, now);
+    std::vector<NodeInfo> candidates;
+    for (const NodeInfo &node : membership.live()) {
+        if (std::find(forward.skipped.begin(), forward.skipped.end(), node.name) == forward.skipped.end())
+            candidates.push_back(node);
+    }
+    if (candidates.empty())
+        return std::nullopt;
+    return candidates[preferredOwner(candidates, partitionOf(forward.request.organisation, forward.request.key))];
 }
 
-// The owner is gone, unreachable or has declined. mayHaveRun: the owner may have accepted the submission, so a refusal
+// The owner, or the substitute asked last, is gone, unreachable or has declined.
+void Dispatcher::State::runElsewhere(Step &step, std::uint64_t requestId)
+{
+    Forward &forward = forwards.find(requestId)->second;
+    if (forward.isOwnerLost && forward.handedToLink) {
+        // That substitute may run the job, and only its own links tell when its attempts have ended.
+        giveUpForward(step, requestId, Reason::OwnerUnreachable);
+        return;
+    }
+    forward.mayHaveRun = forward.mayHaveRun || forward.handedToLink;
+    forward.skipped.push_back(forward.ownerNode);
+    const std::optional<NodeInfo> substitute = chooseSubstitute(forward);
+    if (!substitute || substitute->name == settings.self.name) {
+        runForwardHere(step, requestId, forward.mayHaveRun);
+        return;
+    }
+    forward.kind = SubmitKind::Substitute;
+    forward.isOwnerLost = true;
+    forward.handedToLink = false;
+    forward.owner = substitute->incarnation;
+    forward.ownerNode = substitute->name;
+    forward.ownerAddress = substitute->address;
+    forward.unreachableSinceUs = -1;
+    forward.linkEpoch = 0;
+    forward.nextSendUs = 0;
+    forward.sends = 0;
+    reviewForward(step, requestId);
+}
+
+// Nobody owns the key.
+void Dispatcher::State::forwardToSubstitute(Step &step, CallerId caller, bool wait, JobRequest &&request)
+{
+    const std::uint64_t requestId = nextRequest++;
+    Forward passed;
+    passed.caller = caller;
+    passed.wait = wait;
+    passed.mayRepeat = true;
+    passed.deadlineUs = step.now.monoUs + deadlineMsOf(request) * usPerMs;
+    passed.answerByUs = passed.deadlineUs + answerMarginUs;
+    passed.request = std::move(request);
+    callers[caller] = {CallerPlace::Kind::Forward, requestId};
+    forwards.emplace(requestId, std::move(passed));
+    runElsewhere(step, requestId);
+}
+
+// When the attempts of the lost owner, or of a substitute that was lost after it, have certainly ended.
+std::int64_t Dispatcher::State::ownerRunsEndUs(const JobRequest &request, const Now &now) const
+{
+    std::int64_t lostUs = -1;
+    for (const auto &[node, link] : links)
+        lostUs = std::max(lostUs, link.lostUs);
+    const auto id = config.findTemplate(request.templateName);
+    if (lostUs < 0 || !id)
+        return now.monoUs;
+    std::int64_t leaseMs = 0;
+    for (const TaskRequest &task : request.tasks)
+        leaseMs = std::max(leaseMs, attemptLeaseMs(task, *id));
+    return lostUs + leaseMs * usPerMs;
+}
+
+// This entry VM is the substitute. mayHaveRun: the owner may have accepted the submission, so a refusal
 // from here must not say that this attempt started nothing.
 void Dispatcher::State::runForwardHere(Step &step, std::uint64_t requestId, bool mayHaveRun)
 {
@@ -199,7 +277,7 @@
 void Dispatcher::State::giveUpForward(Step &step, std::uint64_t requestId, Reason reason)
 {
     const Forward &forward = forwards.find(requestId)->second;
-    if (forward.kind == SubmitKind::Submit && forward.handedToLink) {
+    if (isSubmission(forward.kind) && forward.handedToLink) {
         const Requester requester{.caller = forward.hasCaller ? forward.caller : nobody};
         forwards.erase(requestId);
         failUnanswered(step, requester);
@@ -219,13 +297,14 @@
     const bool declined = answer.kind == AnswerKind::Refused
             && (answer.reason == Reason::Draining || answer.reason == Reason::NotReady
                 || answer.reason == Reason::NoGrant);
-    if (declined && mayRunHere(forward, step.now)) {
-        runForwardHere(step, message.requestId, false);
+    if (declined && mayRunElsewhere(forward, step.now)) {
+        forward.handedToLink = false; // it has said that it runs nothing
+        runElsewhere(step, message.requestId);
         return;
     }
     // The owner may have accepted an earlier copy and forgotten the key since then.
     const bool forgotten = answer.kind == AnswerKind::Refused && answer.reason == Reason::KeyTooOld
-            && forward.kind == SubmitKind::Submit && forward.sends > 1;
+            && isSubmission(forward.kind) && forward.sends > 1;
     if (forgotten)
         giveUpForward(step, message.requestId, Reason::KeyTooOld);
     else
@@ -268,8 +347,10 @@
 void Dispatcher::State::on(Step &step, PeerDisconnected &&event)
 {
     const auto link = links.find(event.node);
-    if (link != links.end())
+    if (link != links.end()) {
         link->second.up = false;
+        link->second.lostUs = step.now.monoUs;
+    }
     membership.onDisconnected(event.node, step.now);
     scheduler.onPeerLost(event.node, step.now);
     reviewAllForwards(step);
--- a/packages/core/dispatcher_state.h
+++ b/packages/core/dispatcher_state.h
@@ -73,7 +73,9 @@
     CallerId caller{};
     bool hasCaller = true; // false: the caller is gone, the job goes on
     bool wait = true;
-    bool mayRunHere = false; // the template allows repeats
+    bool mayRepeat = false;   // the template allows repeats, so a substitute may run it
+    bool isOwnerLost = false; // a substitute was asked instead of the owner
+    bool mayHaveRun = false;  // the owner was asked before
     bool handedToLink = false;
     Incarnation owner{};
     std::string ownerNode;
@@ -87,6 +89,7 @@
     std::int64_t dueUs = 0;               // of the timer that is in force
     std::uint64_t linkEpoch = 0;          // of the link it was sent on, 0: never sent
     std::uint32_t sends = 0;
+    std::vector<std::string> skipped; // nodes that are no substitute: the owner, and those that did not take it
 };
 
 // The link to another entry VM, as the last event about it said.
@@ -94,7 +97,8 @@
 {
     Incarnation incarnation{};
     bool up = false;
-    std::uint64_t epoch = 0; // raised by every connection
+    std::uint64_t epoch = 0;  // raised by every connection
+    std::int64_t lostUs = -1; // when the last link to it broke
 };
 
 // Refusals ------------------------------------------------------------------------------------------
@@ -197,7 +201,8 @@
     void submitUnowned(Step &step, const Requester &requester, bool wait, JobRequest &&request);
     void acceptOrRefuse(Step &step, const Requester &requester, bool wait, JobRequest &&request, bool owned);
     void accept(Step &step, const Requester &requester, bool wait, JobRequest &&request, OrganisationId organisation,
-                TemplateId templateId);
+                TemplateId templateId, std::int64_t startUs);
+    void enqueueJob(Step &step, const Job &job);
     Reason tryAccept(Step &step, const Requester &requester, bool wait, JobRequest &request, bool owned);
     Reason checkRequest(const JobRequest &request, OrganisationId &organisation, TemplateId &templateId,
                         const Now &now) const;
@@ -219,13 +224,19 @@
         return owner.coverage == Coverage::Owned && owner.incarnation == settings.self.incarnation;
     }
 
+    bool isReachable(const OwnerLookup &owner) const;
+
     // dispatcher_forwards.cpp
     void forward(Step &step, detail::Forward &&forward, const OwnerLookup &owner);
     void reviewForward(Step &step, std::uint64_t requestId);
     void reviewAllForwards(Step &step);
     void sendForward(Step &step, std::uint64_t requestId, detail::Forward &forward, const detail::Link &link);
     void armForward(std::uint64_t requestId, detail::Forward &forward, std::int64_t atUs);
-    bool mayRunHere(const detail::Forward &forward, const Now &now) const;
+    bool mayRunElsewhere(const detail::Forward &forward, const Now &now) const;
+    std::optional<NodeInfo> chooseSubstitute(const detail::Forward &forward) const;
+    void runElsewhere(Step &step, std::uint64_t requestId);
+    void forwardToSubstitute(Step &step, CallerId caller, bool wait, JobRequest &&request);
+    std::int64_t ownerRunsEndUs(const JobRequest &request, const Now &now) const;
     void runForwardHere(Step &step, std::uint64_t requestId, bool mayHaveRun);
     void giveUpForward(Step &step, std::uint64_t requestId, Reason reason);
     void failUnanswered(Step &step, const Requester &requester);
@@ -235,6 +246,7 @@
     void noteLink(std::string_view node, Incarnation incarnation);
 
     // dispatcher_attempts.cpp
+    std::int64_t attemptLeaseMs(const TaskRequest &task, TemplateId templateId) const;
     void startAttempt(Step &step, const StartDecision &decision);
     void endAttempt(Step &step, std::uint64_t sequence, AttemptOutcome outcome, std::string &&result,
                     std::uint32_t serviceUs, RetryReason retryReason);
--- a/packages/core/dispatcher_submissions.cpp
+++ b/packages/core/dispatcher_submissions.cpp
@@ -56,7 +56,7 @@
         passed.kind = SubmitKind::Submit;
         passed.caller = event.caller;
         passed.wait = event.wait;
-        passed.mayRunHere = mayRepeat(request.templateName, step.now);
+        passed.mayRepeat = mayRepeat(request.templateName, step.now);
         passed.deadlineUs = step.now.monoUs + deadlineMsOf(request) * usPerMs;
         passed.request = std::move(request);
         forward(step, std::move(passed), owner);
@@ -73,8 +73,10 @@
         refuse(step, requester, request, Statement::AttemptNotRun, Reason::KeyInFuture);
     else if (issueMs < step.now.wallMs - settings.dedupeHorizonMs)
         refuse(step, requester, request, Statement::AttemptNotRun, Reason::KeyTooOld);
-    else
+    else if (!mayRepeat(request.templateName, step.now) || !mayForward(step.now))
         acceptOrRefuse(step, requester, wait, std::move(request), false);
+    else
+        forwardToSubstitute(step, requester.caller, wait, std::move(request));
 }
 
 void Dispatcher::State::onPeer(Step &step, const PeerMessageReceived &from, SubmitForward &&message)
@@ -91,6 +93,7 @@
             answerUnknownKey(step, requester);
         return;
     }
+    const bool isSubstitute = message.kind == SubmitKind::Substitute;
 
     ++counters.forwardsReceived;
     if (const Refusal *refusal = refusals.find({from.incarnation, message.requestId})) {
@@ -105,12 +108,20 @@
     const OwnerLookup owner = ownership.find(partitionOf(request.organisation, request.key), issueTimeMs(request.key));
     if (owner.coverage == Coverage::TooOld || issueTimeMs(request.key) < dedupe.floorMs())
         refuse(step, requester, request, Statement::AttemptNotRun, Reason::KeyTooOld);
-    else if (isOwn(owner))
-        acceptOrRefuse(step, requester, message.waitMs >= 0, std::move(request), true);
+    else if (isOwn(owner) || (isSubstitute && !isReachable(owner)))
+        acceptOrRefuse(step, requester, message.waitMs >= 0, std::move(request), isOwn(owner));
     else
         refuse(step, requester, request, Statement::AttemptNotRun, Reason::NoGrant);
 }
 
+// An owner whose link is up runs the job itself.
+bool Dispatcher::State::isReachable(const OwnerLookup &owner) const
+{
+    const auto link = links.find(owner.node);
+    return owner.coverage == Coverage::Owned && link != links.end() && link->second.up
+            && link->second.incarnation == owner.incarnation;
+}
+
 bool Dispatcher::State::joinKnown(Step &step, const Requester &requester, bool wait, const JobRequest &request)
 {
     const Remembered known = dedupe.find(request.organisation, request.key);
@@ -165,8 +176,11 @@
                                   .tasks = request.tasks},
                                  step.now);
     }
+    const std::int64_t startUs = owned || reason != Reason::None ? 0 : ownerRunsEndUs(request, step.now);
+    if (reason == Reason::None && startUs >= step.now.monoUs + deadlineMsOf(request) * usPerMs)
+        reason = Reason::OwnerGone;
     if (reason == Reason::None)
-        accept(step, requester, wait, std::move(request), organisation, templateId);
+        accept(step, requester, wait, std::move(request), organisation, templateId, startUs);
     return reason;
 }
 
@@ -201,7 +215,7 @@
 }
 
 void Dispatcher::State::accept(Step &step, const Requester &requester, bool wait, JobRequest &&request,
-                               OrganisationId organisation, TemplateId templateId)
+                               OrganisationId organisation, TemplateId templateId, std::int64_t startUs)
 {
     const std::int64_t deadlineMs = deadlineMsOf(request);
     Job &job = jobs.add();
@@ -227,9 +241,18 @@
         completeJob(step, job);
         return;
     }
+    job.organisationId = organisation;
+    if (startUs > step.now.monoUs)
+        timers.add({.atUs = startUs, .id = raw(job.id), .kind = TimerKind::JobStart});
+    else
+        enqueueJob(step, job);
+}
+
+void Dispatcher::State::enqueueJob(Step &step, const Job &job)
+{
     scheduler.enqueue({.job = job.id,
-                       .organisation = organisation,
-                       .templateId = templateId,
+                       .organisation = job.organisationId,
+                       .templateId = job.templateId,
                        .deadlineUs = job.deadlineUs,
                        .tasks = job.requests},
                       step.now);
--- a/packages/core/jobs.h
+++ b/packages/core/jobs.h
@@ -120,6 +120,7 @@
     std::string organisation;
     std::string templateName;
     TemplateId templateId{};
+    OrganisationId organisationId{};
     Repeat repeat = Repeat::Never; // when the job was accepted
     bool mayHaveEffects = false;   // an attempt has ended that ran or may have run
     std::uint32_t completed = 0;   // tasks
@@ -179,7 +180,7 @@
 
 // Timers --------------------------------------------------------------------------------------------
 
-enum class TimerKind : std::uint8_t { JobDeadline, WaiterTimeout, ForwardDue, AttemptQuery };
+enum class TimerKind : std::uint8_t { JobDeadline, JobStart, WaiterTimeout, ForwardDue, AttemptQuery };
 
 struct Timer
 {
--- a/packages/core/messages.h
+++ b/packages/core/messages.h
@@ -115,7 +115,12 @@
 
 // Submissions ---------------------------------------------------------------------------------------
 
-enum class SubmitKind : std::uint8_t { Submit, Fetch, Cancel };
+enum class SubmitKind : std::uint8_t {
+    Submit,
+    Fetch,
+    Cancel,
+    Substitute, // submission of a job that may repeat, to an entry VM that does not own its key
+};
 
 // A caller's request passed on to the owner of the key. Sending it again is harmless: the owner joins it to the job.
 struct SubmitForward
--- a/packages/net/codec_wire.cpp
+++ b/packages/net/codec_wire.cpp
@@ -25,7 +25,7 @@
 // Number of enumerators, for the range check.
 template <typename E> constexpr unsigned enumeratorCount = static_cast<unsigned>(E::Count);
 template <> constexpr unsigned enumeratorCount<NodeState> = 4;
-template <> constexpr unsigned enumeratorCount<SubmitKind> = 3;
+template <> constexpr unsigned enumeratorCount<SubmitKind> = 4;
 template <> constexpr unsigned enumeratorCount<AnswerKind> = 4;
 template <> constexpr unsigned enumeratorCount<Statement> = 3;
 template <> constexpr unsigned enumeratorCount<Effects> = 2;
--- a/tests/unit/core/dispatcher_race_test.cpp
+++ b/tests/unit/core/dispatcher_race_test.cpp
@@ -134,7 +134,9 @@
     {
         cluster.disconnect(0, 1);
         const CallerId caller = cluster.submit(0, key, "again");
-        cluster.advance(1500);
+        cluster.advance(1900);
+        CHECK(cluster.starts.empty()); // attempts of the owner have a lease of 2,000 ms
+        cluster.advance(200);
         REQUIRE(cluster.starts.size() == 1);
         CHECK(cluster.starts[0].node == 0);
         const CallerId joined = cluster.submit(0, key, "again");
@@ -147,6 +149,29 @@
     }
 }
 
+// Guards G1: copies of a repeatable job at several entry VMs, whose owner was lost while it may have run the job.
+TEST_CASE("copies of a repeatable job meet at one entry VM when the owner is lost")
+{
+    Cluster cluster(4);
+    const Key key = cluster.keyOwnedBy(1);
+    cluster.submit(0, key, "again");
+    REQUIRE(cluster.starts.size() == 1);
+    for (std::size_t node : {0, 2, 3})
+        cluster.disconnect(node, 1);
+    const CallerId first = cluster.submit(2, key, "again");
+    const CallerId second = cluster.submit(3, key, "again");
+    const CallerId third = cluster.submit(0, key, "again");
+    cluster.advance(1900);
+    CHECK(cluster.starts.size() == 1); // the owner's attempt has a lease of 2,000 ms
+    cluster.advance(1500);
+    REQUIRE(cluster.starts.size() == 2);
+    cluster.end(cluster.starts[1], AttemptOutcome::Completed, "r");
+    cluster.advance(10);
+    for (const CallerId caller : {first, second, third})
+        CHECK(cluster.answer(caller).results == std::vector<std::string>{"r"});
+    CHECK(cluster.starts.size() == 2);
+}
+
 // Guards G5: the change to "never" comes while a submission waits for its owner.
 TEST_CASE("a template that stops allowing repeats does not run without its owner")
 {
