Pass nothing on after a planned stop, number requests above those of earlier processes

An entry VM whose planned stop is over still passed requests on; at its exit their callers got 503 "stopping" while the coordinator had started their tasks. Jobs that it coordinated itself were refused correctly. Reading the path showed a second fault: after a restart requests were numbered from 1 again, so a late answer to the earlier process could reach the caller of another job. Change: passOn() refuses once the stop is over; numbers begin at the time of the request. Test: 'a small entry VM passes nothing on once its planned stop is over' and 'an answer for an earlier process of a small entry VM reaches nobody' fail before.

--- a/packages/command/fleet_coordination.cpp
+++ b/packages/command/fleet_coordination.cpp
@@ -142,8 +142,9 @@
         const auto announced = m_announced.find(node);
         coordinators.push_back({node, announced == m_announced.end() ? 1 : announced->second.milliCores});
     }
-    if (coordinators.empty() || m_now >= drainEnd()) {
-        const bool isStopping = m_now >= drainEnd();
+    // Once the process may exit it cannot deliver an answer.
+    const bool isStopping = m_drained || m_now >= drainEnd();
+    if (coordinators.empty() || isStopping) {
         ++m_counters.reasons[isStopping ? "stopping" : "no_coordinator"];
         logLine(true, "jobs",
                 concat("job refused job=", job, " reason=", isStopping ? "stopping" : "no_coordinator",
@@ -153,7 +154,9 @@
         return;
     }
     const std::string node(chooseCoordinator(coordinators, job));
-    const std::uint64_t sequence = ++m_lastPassedOn;
+    // Numbers of an earlier process of this entry VM, whose answers may still come, are lower than the time now.
+    m_lastPassedOn = std::max(m_lastPassedOn, static_cast<std::uint64_t>(m_now)) + 1;
+    const std::uint64_t sequence = m_lastPassedOn;
     m_passedOn[sequence] = {request.caller, node, std::string(job), request.verb == Verb::Submit};
     m_passedOnOf[request.caller] = sequence;
     ++m_counters.passedOn;
--- a/tests/unit/command/fleet_coordination_test.cpp
+++ b/tests/unit/command/fleet_coordination_test.cpp
@@ -206,6 +206,45 @@
     CHECK(joined(world.violations()).empty());
 }
 
+// Guards a refusal that says "not run": after the end of a planned stop the process exits and cannot deliver an answer.
+TEST_CASE("a small entry VM passes nothing on once its planned stop is over")
+{
+    FleetWorld world(mixedZone());
+    world.start();
+    world.deliver(2, BeginDrain{});
+    world.runFor(2 * usPerS);
+    const CallerId during = world.submit(2, {.id = makeJobId(1)});
+    world.runFor(usPerS);
+    REQUIRE(world.core(2).isDrained());
+    const CallerId after = world.submit(2, {.id = makeJobId(2)});
+    world.runFor(usPerS);
+    REQUIRE(world.answer(during) != nullptr);
+    CHECK(world.answer(during)->kind == Kind::Completed);
+    REQUIRE(world.answer(after) != nullptr);
+    CHECK(world.answer(after)->kind == Kind::Refused);
+    CHECK(world.startsOf(makeJobId(2)) == 0);
+}
+
+// Guards a caller against the answer to another one's job: after a restart the coordinator's late answers still come.
+TEST_CASE("an answer for an earlier process of a small entry VM reaches nobody")
+{
+    FleetWorld world(mixedZone());
+    world.start();
+    world.submit(3, {.id = makeJobId(1), .tasks = 1, .workUs = 300 * usPerMs});
+    world.runFor(50 * usPerMs);
+    world.kill(3);
+    world.boot(3);
+    world.runFor(200 * usPerMs); // until the coordinators have reported to it
+    REQUIRE(world.core(3).isReady());
+    const CallerId waiting = world.submit(3, {.id = makeJobId(2), .tasks = 1, .workUs = 900 * usPerMs});
+    world.runFor(30 * usPerMs);
+    for (std::uint64_t sequence = 0; sequence <= 2; ++sequence) {
+        for (const char *node : {"vm-a0", "vm-a1"})
+            world.deliver(3, PeerReceived{node, ForwardAnswer{sequence, {{}, Kind::Completed, "", "", 0, 0, false}}});
+    }
+    CHECK(world.answer(waiting) == nullptr);
+}
+
 // Guards the room that commanders tell each other: a change that is told wrongly, or never, leaves room unused.
 TEST_CASE("all room of all commanders can be used after a load")
 {
