Keep links within a zone that the other side may need

Ten seconds after an interlude as commander a small entry VM was surplus to a coordinator, which closed the link, although the small one passes its requests over it; the job in progress was given up on both sides as "coordinator_lost" and "caller_gone". Change: links within the zone are not given up; those to other zones are, after 10 s without need. Test: 'a change of commanders breaks no link within a zone' fails before.

--- a/packages/command/fleet_coordination.cpp
+++ b/packages/command/fleet_coordination.cpp
@@ -108,7 +108,9 @@
 void FleetDispatcher::wantLinks(std::span<const std::string_view> wanted)
 {
     for (auto &[node, announced] : m_announced) {
-        const bool isWanted = std::find(wanted.begin(), wanted.end(), node) != wanted.end();
+        // Within the zone the other side may need the link to pass requests on, also when this one does not.
+        const bool isWanted = std::find(wanted.begin(), wanted.end(), node) != wanted.end()
+                || (announced.linkWanted && announced.zone == m_settings.zone);
         announced.surplusSince = isWanted || !announced.linkWanted || announced.missedSince != never
                 ? never
                 : std::min(announced.surplusSince, m_now);
--- a/tests/unit/command/fleet_coordination_test.cpp
+++ b/tests/unit/command/fleet_coordination_test.cpp
@@ -245,6 +245,29 @@
     CHECK(world.answer(waiting) == nullptr);
 }
 
+// Guards callers of small entry VMs: a former commander keeps its links to the coordinators of its zone, which others
+// have stopped needing to it.
+TEST_CASE("a change of commanders breaks no link within a zone")
+{
+    FleetWorld world({.zones = {{"a", 4, 6, {500, 500, 90, 90}}, {"b", 2, 4}}});
+    world.start();
+    world.kill(0); // one of the small ones commands until it is back
+    world.runFor(3 * usPerS);
+    REQUIRE(world.core(2).isCommanding());
+    world.boot(0);
+    std::vector<CallerId> callers;
+    for (std::uint64_t number = 1; number <= 300; ++number) {
+        callers.push_back(world.submit(2, {.id = makeJobId(number), .tasks = 2}));
+        world.runFor(60 * usPerMs);
+    }
+    world.runFor(usPerS);
+    CHECK_FALSE(world.core(2).isCommanding());
+    std::size_t completed = 0;
+    for (const CallerId caller : callers)
+        completed += world.answer(caller) != nullptr && world.answer(caller)->kind == Kind::Completed ? 1 : 0;
+    CHECK(completed == callers.size());
+}
+
 // Guards the room that commanders tell each other: a change that is told wrongly, or never, leaves room unused.
 TEST_CASE("all room of all commanders can be used after a load")
 {
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -497,7 +497,15 @@
                 deliver(to, PeerReceived{m_nodes[static_cast<std::size_t>(index)].name, content});
         });
     }
-    void act(int, LinkPeer &) {} // every link is there
+    // Every link is there; a link that one side gives up breaks for both.
+    void act(int index, LinkPeer &link)
+    {
+        const int other = findNode(link.node);
+        if (link.wanted || other < 0)
+            return;
+        deliver(index, PeerDisconnected{link.node});
+        deliver(other, PeerDisconnected{m_nodes[static_cast<std::size_t>(index)].name});
+    }
     void act(int index, TakeShards &)
     {
         after(2 * usPerMs, [this, zone = m_nodes[static_cast<std::size_t>(index)].zone] { dealShards(zone); });
