Change a learned speed at once only after two odd samples in a row

Cause: one task in a hundred is declared wrongly by more than the bound, and each such task misled placing for ten more. Change: 50% of the second odd sample of the same sign, the usual share of the first.

--- a/packages/command/run_times.cpp
+++ b/packages/command/run_times.cpp
@@ -13,9 +13,9 @@
 constexpr double speedRate = 0.06;              // of the speed, for each task; the first tasks count more
 constexpr double minLogSpeed = -3.0;            // 20 times slower
 constexpr double maxLogSpeed = 1.4;             // 4 times faster
-constexpr double oddSample = 1.2;               // of the logarithm: more than three times the spread of usual samples
-constexpr double oddRate = 0.4;       // after an odd sample: the backend server has probably changed its speed
-constexpr double maxSampleStep = 1.5; // of the logarithm: one odd task does not move a speed by more
+constexpr double oddSample = 1.2;               // of the logarithm: twice the spread of usual samples
+constexpr double oddRate = 0.5;                 // after two odd samples in a row: its speed has changed
+constexpr double maxSampleStep = 1.5;           // of the logarithm: one odd task does not move a speed by more
 
 double logUs(TimeUs time)
 {
@@ -53,8 +53,11 @@
 {
     const double sample = std::clamp(logUs(expectedWorkUs) - logUs(ranUs), minLogSpeed, maxLogSpeed);
     double rate = std::max(speedRate, 1 / (m_samples + 3)); // begins at speed 1 with the weight of two tasks
-    if (std::abs(sample - m_logSpeed) > oddSample)
+    const double off = sample - m_logSpeed;
+    const bool isOdd = std::abs(off) > oddSample;
+    if (isOdd && m_lastOdd * off > 0)
         rate = std::max(rate, oddRate);
+    m_lastOdd = isOdd ? off : 0;
     m_logSpeed += rate * std::clamp(sample - m_logSpeed, -maxSampleStep, maxSampleStep);
     m_samples += 1;
 }
