Give up begun jobs that wait for scarce room at three times their objective

Test: 'a job that has begun and finds no room is given up at three times its objective' fails before.

--- a/packages/command/admission.h
+++ b/packages/command/admission.h
@@ -14,6 +14,9 @@
 // Whether a job of which nothing has started is refused now instead of waiting on.
 bool isHopeless(const Job &job, TimeUs now);
 
+// Whether a job that has begun is given up because a task of it still waits for room.
+bool isTooLate(const Job &job, TimeUs now);
+
 // Longest time from now that a task of the job may take on its backend server. othersWait: for room that is
 // scarce.
 TimeUs longestRun(const Job &job, TimeUs now, bool othersWait);
--- a/packages/command/fleet_placing.cpp
+++ b/packages/command/fleet_placing.cpp
@@ -271,11 +271,17 @@
 void FleetDispatcher::dropHopeless()
 {
     std::vector<std::string> hopeless;
+    std::vector<std::string> tooLate;
     for (const auto &[latestStart, id] : m_waiting) {
         const Job &job = m_jobs.find(id)->second;
-        if (!job.mayHaveRun && job.placed == 0 && isHopeless(job, m_now))
+        const bool hasBegun = job.mayHaveRun || job.placed > 0;
+        if (!hasBegun && isHopeless(job, m_now))
             hopeless.push_back(id);
+        else if (hasBegun && isTooLate(job, m_now))
+            tooLate.push_back(id);
     }
+    for (const std::string &id : tooLate)
+        giveUpJob(m_jobs.find(id)->second, "no_room_in_time");
     for (const std::string &id : hopeless)
         refuseJob(m_jobs.find(id)->second, "no_room_in_time", expectRoomAfter());
 }
--- a/tests/unit/command/fleet_load_test.cpp
+++ b/tests/unit/command/fleet_load_test.cpp
@@ -221,6 +221,37 @@
     CHECK(sum >= target);
 }
 
+// Guards callers against hearing only at the end of their wait that no room was found.
+TEST_CASE("a job that has begun and finds no room is given up at three times its objective")
+{
+    FleetWorld world({.zones = {{"a", 1, 1}}});
+    world.start();
+    const CallerId caller = world.submit(0, {.id = makeJobId(1), .tasks = 3, .workUs = 100 * usPerMs});
+    world.runFor(50 * usPerMs);
+    world.drainServer(0, true); // the third task has no place
+    world.runFor(usPerS);
+    REQUIRE(world.answer(caller) != nullptr);
+    CHECK(world.answer(caller)->kind == AnswerKind::GivenUp);
+    CHECK(world.answer(caller)->afterUs < 720 * usPerMs); // 1.6 x 100 + 60, three times
+    CHECK(world.answer(caller)->afterUs > 600 * usPerMs);
+}
+
+// Guards a learned speed against a single task that was declared wrongly.
+TEST_CASE("two odd run times in a row change a learned speed, one does not")
+{
+    SpeedEstimate speed;
+    for (int i = 0; i < 50; ++i)
+        speed.learn(100 * usPerMs, 100 * usPerMs);
+    speed.learn(100 * usPerMs, 700 * usPerMs);
+    CHECK(speed.speed() > 0.9);
+    speed.learn(100 * usPerMs, 700 * usPerMs);
+    CHECK(speed.speed() < 0.6);
+    speed.learn(100 * usPerMs, 100 * usPerMs);
+    speed.learn(100 * usPerMs, 100 * usPerMs);
+    speed.learn(100 * usPerMs, 100 * usPerMs);
+    CHECK(speed.speed() > 0.5);
+}
+
 // Guards late jobs against waiting for each other until nobody wants them any more, although all room is free.
 TEST_CASE("two late jobs take free room")
 {
