--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -77,6 +77,9 @@
     // backend server with runs of it is renewed.
     void noteHeard(const std::string &coordinator, TimeUs at) { m_heardAt[coordinator] = at; }
 
+    // Of leases that are given from now on.
+    void setMaxLease(TimeUs maxLeaseUs) { m_settings.maxLeaseUs = maxLeaseUs; }
+
     // Stops starting anything, for a planned stop.
     void close() { m_closed = true; }
 
--- a/packages/command/events.h
+++ b/packages/command/events.h
@@ -387,12 +387,18 @@
 };
 struct Tick
 {};
+// Bounds of the platform that may change while the process runs.
+struct BoundsChanged
+{
+    TimeUs maxLeaseUs = 0; // longest lease of a run
+    TimeUs drainUs = 0;    // longest planned stop
+};
 struct BeginDrain // a planned stop: see Dispatcher::isDrained()
 {};
 
 using Event = std::variant<ConfigurationRead, ServerListed, ServerDelisted, ServersKnown, StoreState, ShardsHeld,
                            StartEnded, StopEnded, HoldEnded, CallerRequest, CallerGone, PeerAnnounced, PeerWithdrawn,
-                           PeersKnown, PeerConnected, PeerDisconnected, PeerReceived, Tick, BeginDrain>;
+                           PeersKnown, PeerConnected, PeerDisconnected, PeerReceived, Tick, BoundsChanged, BeginDrain>;
 
 // A line for the log of the process.
 struct LogLine
--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -205,6 +205,15 @@
     reportRooms();
 }
 
+void FleetDispatcher::on(BoundsChanged &event)
+{
+    logLine(false, "process",
+            concat("bounds in force max_lease_ms=", event.maxLeaseUs / usPerMs, " drain_ms=", event.drainUs / usPerMs));
+    m_settings.maxLeaseUs = event.maxLeaseUs;
+    m_settings.drainUs = event.drainUs;
+    m_commander.setMaxLease(event.maxLeaseUs);
+}
+
 void FleetDispatcher::on(BeginDrain &)
 {
     if (m_drainingSince != never)
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -170,6 +170,7 @@
     void on(PeerDisconnected &event);
     void on(PeerReceived &event);
     void on(Tick &event);
+    void on(BoundsChanged &event);
     void on(BeginDrain &event);
     // Messages of peers
     void onMessage(const std::string &node, Peer &peer, PlaceTasks &message);
--- a/packages/dispatcher/fleet_daemon.h
+++ b/packages/dispatcher/fleet_daemon.h
@@ -20,6 +20,9 @@
     FleetDaemon &operator=(const FleetDaemon &) = delete;
     ~FleetDaemon(); // hands the command of backend servers over, delivers answers, then closes everything
 
+    // Thread-safe. Puts the bounds of changed settings in force; tells of fields that need a restart.
+    void reload(const platform::PlatformSettings &settings);
+
     // Thread-safe.
     void drain();
     bool isDrained() const;
--- a/packages/dispatcher/main.cpp
+++ b/packages/dispatcher/main.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <ctime>
+#include <filesystem>
 #include <iostream>
 #include <utility>
 
@@ -109,12 +110,13 @@
     return named != nullptr ? named : platform::defaultSettingsFile;
 }
 
-// Settings of a running process stay as they are: what they say of this VM does not change during its life.
-void reportSettings(const std::string &file)
+// Reads the settings of a running process again. Bad ones change nothing.
+void reload(dispatcher::FleetDaemon &daemon, const std::string &file)
 {
     const auto settings = platform::readPlatformSettings(file);
     if (settings) {
         dispatcher::log(core::NoticeLevel::Info, "process", "settings read again, no findings file=" + file);
+        daemon.reload(*settings);
         return;
     }
     for (const core::Finding &finding : settings.error())
@@ -122,6 +124,13 @@
                         "settings not usable, the old ones stay finding=" + config::toString(finding));
 }
 
+// The file may change without a signal.
+std::filesystem::file_time_type changeTime(const std::string &file)
+{
+    std::error_code error; // a file that is gone for a moment has not changed
+    return std::filesystem::last_write_time(file, error);
+}
+
 int runPlatform(const std::string &file, std::uint16_t metricsPort, const sigset_t &signals)
 {
     constexpr timespec idleInterval{1, 0};
@@ -138,10 +147,13 @@
             return exitFailure;
         }
         bool isDraining = false;
+        auto readAt = changeTime(file);
         while (!(*daemon)->isDrained()) {
             const int signal = sigtimedwait(&signals, nullptr, isDraining ? &pollInterval : &idleInterval);
-            if (signal == SIGHUP) {
-                reportSettings(file);
+            const auto changedAt = changeTime(file);
+            if (signal == SIGHUP || changedAt > readAt) {
+                readAt = changedAt;
+                reload(**daemon, file);
             } else if (signal > 0 && !std::exchange(isDraining, true)) {
                 (*daemon)->drain();
             }
