Hold requests for a moment until a coordinator is found

Change: in the first 600 ms of a process, and after the last coordinator is lost, requests wait for at most 600 ms. Test: 'requests in the first moments of a process wait for its links, for a bounded time' fails before.

--- a/packages/command/fleet_coordination.cpp
+++ b/packages/command/fleet_coordination.cpp
@@ -9,11 +9,13 @@
 namespace {
 
 constexpr TimeUs electEveryUs = 100 * usPerMs;
-constexpr TimeUs firstStartWaitUs = 600 * usPerMs;    // entry VMs of a new deployment start within 300 ms of each other
-constexpr TimeUs missingUs = 1500 * usPerMs;          // without a link: a restart of a process and a few dials fit in
-constexpr TimeUs outvotedUs = 5 * usPerS;             // a commander that comes back for a moment moves no shards
-constexpr TimeUs surplusUs = 10 * usPerS;             // a link that is not needed any more is kept for a while
-constexpr TimeUs staleRequestUs = 450 * usPerMs;      // as of orders between commanders: three heartbeats
+constexpr TimeUs firstStartWaitUs = 600 * usPerMs; // entry VMs of a new deployment start within 300 ms of each other
+constexpr TimeUs missingUs = 1500 * usPerMs;       // without a link: a restart of a process and a few dials fit in
+constexpr TimeUs outvotedUs = 5 * usPerS;          // a commander that comes back for a moment moves no shards
+constexpr TimeUs surplusUs = 10 * usPerS;          // a link that is not needed any more is kept for a while
+constexpr TimeUs staleRequestUs = 450 * usPerMs;   // as of orders between commanders: three heartbeats
+constexpr TimeUs searchUs = 600 * usPerMs;   // a process finds its links within 500 ms of its start
+constexpr std::size_t maxHeldRequests = 500; // of 16 KB at most each
 constexpr std::uint64_t remoteCallerBit = 1ULL << 63; // ids of own callers are counted from 1
 
 } // namespace
@@ -134,7 +136,7 @@
 void FleetDispatcher::passOn(CallerRequest &&request, std::string_view job)
 {
     if (m_now < m_noStartsUntil) { // its caller may have left during a pause of this process
-        m_heldRequests.push_back(std::move(request));
+        m_heldRequests.push_back({std::move(request), m_now});
         return;
     }
     std::vector<ZoneMember> coordinators;
@@ -146,6 +148,8 @@
     }
     // Once the process may exit it cannot deliver an answer.
     const bool isStopping = m_drained || m_now >= drainEnd();
+    if (coordinators.empty() && !isStopping && tryHold(request))
+        return;
     if (coordinators.empty() || isStopping) {
         ++m_counters.reasons[isStopping ? "stopping" : "no_coordinator"];
         logLine(true, "jobs",
@@ -165,14 +169,32 @@
     m_actions->push_back(SendPeer{node, ForwardRequest{sequence, m_peers.at(node).reportSentAt, std::move(request)}});
 }
 
+// Keeps a request for a moment in which a coordinator is likely to be found: after the start of this
+// process, and after the loss of the last coordinator.
+bool FleetDispatcher::tryHold(CallerRequest &request)
+{
+    const TimeUs since = std::max(m_startedAt, m_coordinatorAt);
+    if (m_now - since >= searchUs || m_heldRequests.size() >= maxHeldRequests || m_drainingSince != never)
+        return false;
+    m_heldRequests.push_back({std::move(request), m_now});
+    return true;
+}
+
 void FleetDispatcher::flushHeldRequests()
 {
+    const bool isThere = m_commands || isCoordinatorIn(m_settings.zone);
+    if (isThere)
+        m_coordinatorAt = m_now;
     if (m_heldRequests.empty() || m_now < m_noStartsUntil)
         return;
-    std::vector<CallerRequest> held = std::move(m_heldRequests);
+    std::vector<HeldRequest> held = std::move(m_heldRequests);
     m_heldRequests.clear();
-    for (CallerRequest &request : held)
-        take(request);
+    for (HeldRequest &entry : held) {
+        if (!isThere && m_now - entry.since < searchUs)
+            m_heldRequests.push_back(std::move(entry));
+        else
+            take(entry.request);
+    }
 }
 
 void FleetDispatcher::onMessage(const std::string &node, Peer &, ForwardAnswer &message)
--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -40,6 +40,7 @@
         logLine(true, "process", concat("resumed after a pause pause_ms=", (now - m_lastEventAt) / usPerMs));
         m_noStartsUntil = now + settleUs;
     }
+    m_startedAt = m_startedAt == 0 ? now : m_startedAt;
     m_lastEventAt = now;
     std::visit([this](auto &content) { on(content); }, event);
     takeEnds();
@@ -396,7 +397,7 @@
         m_passedOnOf.erase(passed);
         return;
     }
-    std::erase_if(m_heldRequests, [&](const CallerRequest &held) { return held.caller == event.caller; });
+    std::erase_if(m_heldRequests, [&](const HeldRequest &held) { return held.request.caller == event.caller; });
     const auto found = m_callers.find(event.caller);
     if (found == m_callers.end())
         return;
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -144,6 +144,12 @@
         std::string job;
         bool submits = false;
     };
+    // A request that is to be passed on when a pause is over or a coordinator is found.
+    struct HeldRequest
+    {
+        CallerRequest request;
+        TimeUs since = 0;
+    };
     // A caller of another entry VM.
     struct RemoteCaller
     {
@@ -189,6 +195,7 @@
     bool isAlive(std::string_view node, const Announced &announced) const;
     bool isCoordinatorIn(std::string_view zone) const;
     void passOn(CallerRequest &&request, std::string_view job);
+    bool tryHold(CallerRequest &request);
     void loseCallersOf(const std::string &node);
     void flushHeldRequests();
     void losePassedOn(const std::string &node);
@@ -268,7 +275,9 @@
     std::map<std::uint64_t, PassedOn> m_passedOn;              // by sequence
     absl::flat_hash_map<CallerId, std::uint64_t> m_passedOnOf; // sequence, by caller
     std::uint64_t m_lastPassedOn = 0;
-    std::vector<CallerRequest> m_heldRequests; // to be passed on after a pause
+    std::vector<HeldRequest> m_heldRequests;
+    TimeUs m_startedAt = 0;     // first event
+    TimeUs m_coordinatorAt = 0; // when a coordinator of the zone was there last
     absl::flat_hash_map<CallerId, RemoteCaller> m_remoteCallers;
     std::map<std::pair<std::string, std::uint64_t>, CallerId> m_remoteCallerIds; // by node and sequence
     std::uint64_t m_lastRemoteCaller = 0;
--- a/tests/unit/command/fleet_coordination_test.cpp
+++ b/tests/unit/command/fleet_coordination_test.cpp
@@ -268,6 +268,34 @@
     CHECK(completed == callers.size());
 }
 
+// Guards the callers that come back right after the loss of all entry VMs: they find processes that have just started.
+TEST_CASE("requests in the first moments of a process wait for its links, for a bounded time")
+{
+    FleetWorld world(mixedZone());
+    world.start();
+    for (int node = 0; node < world.nodeCount(); ++node)
+        world.kill(node);
+    world.runFor(usPerS);
+    world.boot(3);
+    const CallerId early = world.submit(3, {.id = makeJobId(1), .budgetUs = 2 * usPerS});
+    world.runFor(200 * usPerMs);
+    CHECK(world.answer(early) == nullptr);
+    SECTION("a coordinator starts meanwhile")
+    {
+        world.boot(0);
+        world.runFor(500 * usPerMs);
+        REQUIRE(world.answer(early) != nullptr);
+        CHECK(world.answer(early)->kind == Kind::Completed);
+    }
+    SECTION("none is there")
+    {
+        world.runFor(500 * usPerMs);
+        REQUIRE(world.answer(early) != nullptr);
+        CHECK(world.answer(early)->kind == Kind::NotReady);
+        CHECK(world.answer(early)->afterUs < 640 * usPerMs);
+    }
+}
+
 // Guards the room that commanders tell each other: a change that is told wrongly, or never, leaves room unused.
 TEST_CASE("all room of all commanders can be used after a load")
 {
