--- a/packages/command/fleet_coordination.cpp
+++ b/packages/command/fleet_coordination.cpp
@@ -9,13 +9,13 @@
 namespace {
 
 constexpr TimeUs electEveryUs = 100 * usPerMs;
-constexpr TimeUs firstStartWaitUs = 600 * usPerMs; // entry VMs of a new deployment start within 300 ms of each other
-constexpr TimeUs missingUs = 1500 * usPerMs;       // without a link: a restart of a process and a few dials fit in
-constexpr TimeUs outvotedUs = 5 * usPerS;          // a commander that comes back for a moment moves no shards
-constexpr TimeUs surplusUs = 10 * usPerS;          // a link that is not needed any more is kept for a while
-constexpr TimeUs staleRequestUs = 450 * usPerMs;   // as of orders between commanders: three heartbeats
-constexpr TimeUs searchUs = 600 * usPerMs;   // a process finds its links within 500 ms of its start
-constexpr std::size_t maxHeldRequests = 500; // of 16 KB at most each
+constexpr TimeUs firstStartWaitUs = 600 * usPerMs;    // entry VMs of a new deployment start within 300 ms of each other
+constexpr TimeUs missingUs = 1500 * usPerMs;          // without a link: a restart of a process and a few dials fit in
+constexpr TimeUs outvotedUs = 5 * usPerS;             // a commander that comes back for a moment moves no shards
+constexpr TimeUs surplusUs = 10 * usPerS;             // a link that is not needed any more is kept for a while
+constexpr TimeUs staleRequestUs = 450 * usPerMs;      // as of orders between commanders: three heartbeats
+constexpr TimeUs searchUs = 600 * usPerMs;            // a process finds its links within 500 ms of its start
+constexpr std::size_t maxHeldRequests = 500;          // of 16 KB at most each
 constexpr std::uint64_t remoteCallerBit = 1ULL << 63; // ids of own callers are counted from 1
 
 } // namespace
--- a/tests/unit/command/fleet_coordination_test.cpp
+++ b/tests/unit/command/fleet_coordination_test.cpp
@@ -40,6 +40,8 @@
 {
     std::vector<std::string> names;
     std::vector<ZoneMember> members;
+    names.reserve(100);
+    members.reserve(100);
     for (int i = 0; i < 100; ++i)
         names.push_back("vm-" + std::to_string(100 + i));
     for (const std::string &name : names)
