--- a/packages/dispatcher/fleet_daemon.cpp
+++ b/packages/dispatcher/fleet_daemon.cpp
@@ -344,20 +344,9 @@
 
 void FleetDaemon::reload(const platform::PlatformSettings &settings)
 {
-    const platform::PlatformSettings &started = m_state->settings;
-    const auto report = [](std::string_view field, bool isSame) {
-        if (!isSame)
-            log(NoticeLevel::Warning, "process",
-                "changed setting takes effect after a restart field=" + std::string(field));
-    };
-    report("node", settings.node == started.node);
-    report("zone", settings.zone == started.zone);
-    report("limits", settings.milliCores == started.milliCores);
-    report("listen", settings.callerAddress == started.callerAddress && settings.readyAddress == started.readyAddress);
-    report("internalPorts", settings.ip == started.ip && settings.peerPort == started.peerPort);
-    report("platform",
-           settings.storeAddress == started.storeAddress && settings.partitions == started.partitions
-                   && settings.leastMemberTtl == started.leastMemberTtl);
+    for (const std::string_view field : platform::findFieldsOfStart(m_state->settings, settings))
+        log(NoticeLevel::Warning, "process",
+            "changed setting takes effect after a restart field=" + std::string(field));
     m_state->queue.push(Event(command::BoundsChanged{settings.maxLease, settings.stopGrace}));
 }
 
