--- a/packages/dispatcher/fleet_metrics.cpp
+++ b/packages/dispatcher/fleet_metrics.cpp
@@ -57,6 +57,8 @@
     addCounter(families, "starts_total", "Starts ordered by this entry VM.", counters.starts);
     addCounter(families, "remote_starts_total", "Starts asked of peers.", counters.remoteStarts);
     addCounter(families, "remote_refusals_total", "Starts that peers did not carry out.", counters.remoteRefusals);
+    addCounter(families, "requests_passed_on_total", "Requests sent to a coordinator.", counters.passedOn);
+    addCounter(families, "requests_taken_over_total", "Requests of other entry VMs.", counters.takenOver);
     addCounter(families, "task_retries_total", "Further runs of a task.", counters.retries);
     addCounter(families, "stalled_tasks_total", "Tasks stopped because they were overdue.", counters.stalls);
     addGauge(families, "jobs", "Jobs in progress.", core.jobCount());
@@ -66,6 +68,7 @@
              core.commander().commandedCount());
     addGauge(families, "configuration_version", "Version of the configuration in force.",
              static_cast<std::size_t>(core.routes().configuration().version));
+    addGauge(families, "commanding", "1 while this entry VM is elected as commander.", core.isCommanding() ? 1 : 0);
     addGauge(families, "ready", "1 while the balancer may send callers.", core.isReady() ? 1 : 0);
     addCounter(families, "store_calls_total", "Calls to the platform's store.", store.calls);
     addCounter(families, "store_failures_total", "Calls to the store without a usable answer.", store.failures);
