Give a commander its shards back when it is elected again before it has left its group

Cause: found by reading. A commander that is outvoted gives its shards up in the core at once and leaves the group when its runs have ended. Elected again in between, it kept its membership, and the store tells shards only when they change, so the backend servers of its shards had no commander. Change: the shards told last are kept and handed to the core again. Test: 'a commander that is elected again before it has left its group commands its shards' fails before.

--- a/packages/command/fleet_coordination.cpp
+++ b/packages/command/fleet_coordination.cpp
@@ -99,12 +99,14 @@
     if (commands && !m_takesShards) {
         m_takesShards = true;
         m_actions->push_back(TakeShards{true});
-    } else if (!commands) {
-        ShardsHeld none;
-        none.token = m_heldToken;
-        none.shardCount = m_shardCount;
-        m_commander.holdShards(m_now, none, *m_actions, m_ended);
+        return;
     }
+    // Without shards nothing more is started. Elected again before it has left the group, it still has those of before,
+    // and the store tells only changes.
+    ShardsHeld held = m_shardsHeld;
+    if (!commands)
+        held.shards.clear();
+    m_commander.holdShards(m_now, held, *m_actions, m_ended);
 }
 
 void FleetDispatcher::wantLinks(std::span<const std::string_view> wanted)
--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -166,8 +166,7 @@
 {
     logLine(false, "servers",
             concat("shards held shards=", event.shards.size(), " of=", event.shardCount, " token=", event.token));
-    m_heldToken = event.token;
-    m_shardCount = event.shardCount;
+    m_shardsHeld = event;
     if (!m_commands)
         event.shards.clear(); // they are about to be given up
     m_commander.holdShards(m_now, event, *m_actions, m_ended);
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -270,9 +270,8 @@
     TimeUs m_electFrom = never; // the entry VMs are known well enough
     TimeUs m_electAt = 0;       // last election
     bool m_commands = false;
-    bool m_takesShards = false;     // as the store was told
-    FencingToken m_heldToken = 0;   // of the last ShardsHeld
-    std::uint32_t m_shardCount = 0; // of the last ShardsHeld
+    bool m_takesShards = false; // as the store was told
+    ShardsHeld m_shardsHeld;    // as the store told last
     TimeUs m_outvotedSince = never;
     std::map<std::uint64_t, PassedOn> m_passedOn;              // by sequence
     absl::flat_hash_map<CallerId, std::uint64_t> m_passedOnOf; // sequence, by caller
--- a/tests/unit/command/fleet_coordination_test.cpp
+++ b/tests/unit/command/fleet_coordination_test.cpp
@@ -332,6 +332,38 @@
     CHECK(joined(world.violations()).empty());
 }
 
+// Guards shards against being without a commander: the store tells them again only when they change.
+TEST_CASE("a commander that is elected again before it has left its group commands its shards")
+{
+    FleetWorld world({.zones = {{"a", 3, 6, {500, 500, 90}}}});
+    world.start();
+    world.kill(1);
+    world.runFor(3 * usPerS);
+    REQUIRE(world.core(2).isCommanding());
+    world.boot(1);
+    std::uint64_t number = 0;
+    for (int i = 0; i < 200 && world.core(2).isCommanding(); ++i) {
+        if (i % 10 == 0) // runs that keep it in the group for a while
+            world.submit(2, {.id = makeJobId(++number), .tasks = 4, .workUs = 900 * usPerMs, .path = "/l/"});
+        world.runFor(40 * usPerMs);
+    }
+    REQUIRE_FALSE(world.core(2).isCommanding());
+    REQUIRE(world.core(2).commander().hasRuns());
+    world.deliver(1, BeginDrain{});
+    world.runFor(500 * usPerMs);
+    REQUIRE(world.core(2).isCommanding());
+    world.runFor(2 * usPerS);
+    REQUIRE_FALSE(world.core(2).commander().hasRuns());
+    CHECK(world.core(2).commander().commandedCount() > 0);
+    world.kill(1);
+    world.runFor(3 * usPerS);
+    // All places of all backend servers can be used.
+    const CallerId wide = world.submit(0, {.id = makeJobId(1000), .tasks = 12});
+    world.runFor(usPerS);
+    REQUIRE(world.answer(wide) != nullptr);
+    CHECK(world.answer(wide)->kind == Kind::Completed);
+}
+
 // Guards the room that commanders tell each other: a change that is told wrongly, or never, leaves room unused.
 TEST_CASE("all room of all commanders can be used after a load")
 {
