Reject malformed values from outside without an exception

Ruled out: the frames of peers (parsed with limits, no exception found) and the log lines (control characters are replaced).

--- a/packages/net/bounded_json.h
+++ b/packages/net/bounded_json.h
@@ -7,6 +7,9 @@
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -107,6 +110,28 @@
     return Json(Json::value_t::discarded);
 }
 
+// The value as an integer of type T; other systems may write it with a decimal point. Nothing when the value is no
+// number or out of the range of T, for which the conversion of a floating-point number is undefined.
+template <typename T> std::optional<T> readInteger(const Json &value)
+{
+    using Limits = std::numeric_limits<T>;
+    if (value.is_number_unsigned()) {
+        const auto number = value.get<std::uint64_t>();
+        return number <= static_cast<std::uint64_t>(Limits::max()) ? std::optional(static_cast<T>(number))
+                                                                   : std::nullopt;
+    }
+    if (value.is_number_integer()) { // negative
+        const auto number = value.get<std::int64_t>();
+        const bool isInRange = Limits::is_signed ? number >= static_cast<std::int64_t>(Limits::min()) : number >= 0;
+        return isInRange ? std::optional(static_cast<T>(number)) : std::nullopt;
+    }
+    if (!value.is_number_float())
+        return std::nullopt;
+    const auto number = value.get<double>();
+    const bool isInRange = number >= static_cast<double>(Limits::min()) && number < static_cast<double>(Limits::max());
+    return isInRange ? std::optional(static_cast<T>(number)) : std::nullopt;
+}
+
 // Serialises a value as JSON text; invalid UTF-8 is replaced.
 inline std::string writeJson(const Json &value)
 {
--- a/packages/net/fleet_codec.cpp
+++ b/packages/net/fleet_codec.cpp
@@ -107,11 +107,13 @@
     template <typename T> T number()
     {
         const Json *value = take();
-        if (value == nullptr || !value->is_number()) {
-            m_valid = false;
-            return {};
-        }
-        return value->get<T>();
+        std::optional<T> number;
+        if constexpr (std::is_floating_point_v<T>)
+            number = value != nullptr && value->is_number() ? std::optional(value->get<T>()) : std::nullopt;
+        else
+            number = value != nullptr ? readInteger<T>(*value) : std::nullopt;
+        m_valid = m_valid && number.has_value();
+        return number.value_or(T{});
     }
     std::string text()
     {
