Do less per event and per link at the size of hundreds of VMs

Change: renewals without a change are dropped; apply() handles an event and placeTasks() places once for all events that arrived together; a commander keeps about 12 links to other zones, chosen by the sum of both ranks so that both sides agree; ticks come every 50 ms without jobs or runs.

Each has a test in fleet_size_test.cpp.

--- a/packages/command/election.cpp
+++ b/packages/command/election.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t minCommanders = 2; // after the loss of one, another already knows the backend servers
 // Largest ratio of processors between two commanders. Shards are assigned evenly, so a smaller one would be overloaded.
 constexpr std::uint32_t maxSizeRatio = 2;
+// Links of a commander to other zones, in all. Each carries a report whenever capacity has changed; 24 of them take
+// more of a processor of 0.3 cores than the commander's own backend servers.
+constexpr std::size_t maxOtherZoneLinks = 12;
 
 } // namespace
 
@@ -34,6 +37,17 @@
     return commanders;
 }
 
+bool areLinked(std::size_t rank, std::size_t count, std::size_t otherRank, std::size_t otherCount,
+               std::size_t zoneCount)
+{
+    const std::size_t smaller = std::min(count, otherCount);
+    if (smaller == 0 || zoneCount < 2)
+        return false;
+    // The sum of the ranks spreads the links evenly and is the same on both sides.
+    const std::size_t linksPerZone = std::max<std::size_t>(maxOtherZoneLinks / (zoneCount - 1), 1);
+    return (rank + otherRank) % smaller < linksPerZone;
+}
+
 // Weighted rendezvous hashing: the loss of a coordinator moves only its own jobs.
 std::string_view chooseCoordinator(std::span<const ZoneMember> coordinators, std::string_view job)
 {
--- a/packages/command/fleet_coordination.cpp
+++ b/packages/command/fleet_coordination.cpp
@@ -71,7 +71,8 @@
             zones[announced.zone].push_back({node, announced.milliCores});
     }
     const std::vector<std::string_view> own = electCommanders(zones[m_settings.zone]);
-    const bool isElected = std::find(own.begin(), own.end(), m_settings.node) != own.end();
+    const auto rank = static_cast<std::size_t>(std::find(own.begin(), own.end(), m_settings.node) - own.begin());
+    const bool isElected = rank < own.size();
     m_notElectedSince = isElected ? never : std::min(m_notElectedSince, m_now);
     if (isElected && !m_commands)
         setCommanding(true);
@@ -83,10 +84,14 @@
     }
     std::vector<std::string_view> wanted;
     for (const auto &[zone, members] : zones) {
-        if (zone != m_settings.zone && !m_commands)
+        const bool isOwnZone = zone == m_settings.zone;
+        if (!isOwnZone && (!m_commands || !isElected))
             continue;
         const std::vector<std::string_view> commanders = electCommanders(members);
-        wanted.insert(wanted.end(), commanders.begin(), commanders.end());
+        for (std::size_t other = 0; other < commanders.size(); ++other) {
+            if (isOwnZone || areLinked(rank, own.size(), other, commanders.size(), zones.size()))
+                wanted.push_back(commanders[other]);
+        }
     }
     updateLinks(wanted);
 }
--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr TimeUs tickUs = 20 * usPerMs;            // resolution of time limits; tasks take at least 50 ms
+constexpr TimeUs idleTickUs = 50 * usPerMs;        // without jobs or runs here; a third of the heartbeat interval
 constexpr TimeUs pauseThresholdUs = 300 * usPerMs; // a longer gap between events means that the process was suspended
 constexpr TimeUs resumeDelayUs = 100 * usPerMs;    // without starts after a pause, to detect lost callers and peers
 constexpr TimeUs answerReserveUs = 15 * usPerMs;   // for delivering the answer before the caller's timeout
@@ -32,7 +33,7 @@
     : m_settings(settings), m_commander({settings.zone, settings.maxLeaseUs})
 {}
 
-void FleetDispatcher::handle(TimeUs now, Event &&event, std::vector<Action> &actions)
+void FleetDispatcher::apply(TimeUs now, Event &&event, std::vector<Action> &actions)
 {
     m_now = now;
     m_actions = &actions;
@@ -44,6 +45,23 @@
     m_lastEventAt = now;
     std::visit([this](auto &content) { on(content); }, event);
     deliverRunEnds();
+    if (hasTimeLimits())
+        m_nextTick = std::min(m_nextTick, now + tickUs);
+}
+
+// Forwarded requests have none here: their coordinator watches them.
+bool FleetDispatcher::hasTimeLimits() const
+{
+    return !m_jobs.empty() || !m_queuedRequests.empty() || !m_endingRuns.empty() || m_commander.hasRuns()
+            || m_drainingSince != never;
+}
+
+// Separate from apply(), because a pass over waiting jobs and free capacity costs far more than an event: a commander
+// under overload receives over a thousand events a second, each of which would need a pass.
+void FleetDispatcher::placeTasks(TimeUs now, std::vector<Action> &actions)
+{
+    m_now = now;
+    m_actions = &actions;
     dispatch();
     deliverRunEnds(); // starts that the commander rejected
 }
@@ -111,14 +129,17 @@
 
 void FleetDispatcher::on(ServerListed &event)
 {
+    m_lapsedServers.erase(event.entry.id);
     const ServerEntry *known = m_commander.findEntry(event.entry.id);
+    // Backend servers renew their entries every 1.5 s; with 1,100 of them, 700 renewals a second arrive here.
+    if (known != nullptr && *known == event.entry)
+        return;
     if (known == nullptr || known->draining != event.entry.draining
         || known->incarnationStartMs != event.entry.incarnationStartMs)
         logLine(false, "servers",
                 concat("backend server registered server=", event.entry.id, " zone=", event.entry.zone,
                        " rack=", event.entry.rack, " draining=", event.entry.draining ? 1 : 0,
                        " born_ms=", event.entry.incarnationStartMs));
-    m_lapsedServers.erase(event.entry.id);
     m_commander.addServer(m_now, event.entry, *m_actions, m_ended);
     m_dispatchNeeded = true;
 }
@@ -193,7 +214,7 @@
 
 void FleetDispatcher::on(Tick &)
 {
-    m_nextTick = m_now + tickUs;
+    m_nextTick = m_now + idleTickUs;
     m_commander.tick(m_now, *m_actions, m_ended);
     for (auto &[node, peer] : m_peers)
         checkPeer(node, peer);
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -1,6 +1,7 @@
 // The command core: accepts jobs of callers, commands backend servers and exchanges messages with peers.
 //
-// A state machine without I/O: handle(now, event, actions). The elected entry VMs of an availability zone coordinate
+// A state machine without I/O: apply(now, event, actions) for each event, then placeTasks(now, actions) once for all
+// events that have arrived together. The elected entry VMs of an availability zone coordinate
 // jobs; the others forward their callers' requests to one of them (election.h). A coordinator places the tasks of a job
 // on backend servers that it commands itself or, over the peer links, on backend servers of peers with free capacity.
 // Tasks wait only at their coordinator; a commander without free capacity rejects a start at once.
@@ -52,6 +53,7 @@
     std::uint64_t retries = 0;                                    // further runs of a task
     std::uint64_t forwardedRequests = 0;                          // requests forwarded to a coordinator
     std::uint64_t receivedForwards = 0;                           // requests forwarded by other entry VMs
+    std::uint64_t placingPasses = 0;                              // over the waiting jobs and the free capacity
     absl::flat_hash_map<std::string_view, std::uint64_t> reasons; // of refused and failed jobs
     std::array<std::uint64_t, 16> answerTimes{};                  // of completed jobs, see answerBoundsMs
     double answerSeconds = 0;                                     // sum over completed jobs
@@ -66,7 +68,10 @@
 public:
     explicit FleetDispatcher(const FleetSettings &settings);
 
-    void handle(TimeUs now, Event &&event, std::vector<Action> &actions);
+    // Applies one event; waiting tasks stay where they are.
+    void apply(TimeUs now, Event &&event, std::vector<Action> &actions);
+    // Places waiting tasks if an event since the last call may have freed or changed capacity.
+    void placeTasks(TimeUs now, std::vector<Action> &actions);
 
     // Latest time at which the next Tick is due.
     TimeUs nextTick() const { return m_nextTick; }
@@ -216,6 +221,7 @@
     void refuseJob(Job &job, std::string_view reason, TimeUs retryAfterUs);
     void endJob(Job &job, AnswerKind kind, std::string_view reason, TimeUs retryAfterUs);
     void stopRuns(Job &job);
+    bool hasTimeLimits() const;
     TimeUs drainEnd() const;
     void endDrain();
     void removeLapsedServers();
@@ -259,8 +265,8 @@
     std::vector<CapacityReport::ServerCapacity> m_ownCapacities;   // of one dispatch()
     std::map<std::string, std::vector<PlaceTasks::Item>> m_orders; // of one job in placeJob(), by node
     std::vector<RunEndNotice> m_ended;
-    std::vector<Action> *m_actions = nullptr; // of one handle()
-    TimeUs m_now = 0;                         // of one handle()
+    std::vector<Action> *m_actions = nullptr; // of one apply() or placeTasks()
+    TimeUs m_now = 0;                         // of one apply() or placeTasks()
     TimeUs m_lastEventAt = 0;
     TimeUs m_nextTick = 0;
     TimeUs m_noStartsUntil = 0;              // set after the process was suspended
--- a/packages/command/fleet_placing.cpp
+++ b/packages/command/fleet_placing.cpp
@@ -74,6 +74,7 @@
     m_dispatchNeeded = false;
     if (m_waiting.empty())
         return;
+    ++m_counters.placingPasses;
     if (m_now >= m_noStartsUntil) {
         collectCandidates();
         std::vector<std::string> order;
--- a/packages/dispatcher/fleet_daemon.cpp
+++ b/packages/dispatcher/fleet_daemon.cpp
@@ -116,6 +116,7 @@
     void run();
     void handle(QueueItem &&item);
     void handleEvent(Event &&event);
+    void performActions();
     void checkDisconnectedCallers(command::TimeUs now);
     void sendPeerMessages();
 
@@ -233,6 +234,9 @@
             handle(std::move(item));
         if (platform::bootTimeUs() >= core.nextTick())
             handleEvent(command::Tick{});
+        actions.clear();
+        core.placeTasks(platform::bootTimeUs(), actions);
+        performActions();
         sendPeerMessages();
         store->delayShardHandover(!core.mayReleaseShards());
         drained = core.isDrained();
@@ -274,7 +278,12 @@
 void FleetDaemon::State::handleEvent(Event &&event)
 {
     actions.clear();
-    core.handle(platform::bootTimeUs(), std::move(event), actions);
+    core.apply(platform::bootTimeUs(), std::move(event), actions);
+    performActions();
+}
+
+void FleetDaemon::State::performActions()
+{
     for (command::Action &action : actions)
         std::visit([this](auto &&content) { act(std::forward<decltype(content)>(content)); }, std::move(action));
 }
--- a/tests/unit/command/fleet_dispatcher_test.cpp
+++ b/tests/unit/command/fleet_dispatcher_test.cpp
@@ -64,7 +64,7 @@
         request.path = path;
         request.job = std::move(job);
         request.problem = "body is no JSON";
-        core.handle(usPerS, std::move(request), actions);
+        core.apply(usPerS, std::move(request), actions);
         for (const Action &action : actions) {
             if (const auto *answer = std::get_if<AnswerCaller>(&action))
                 return answer->kind;
@@ -73,7 +73,7 @@
     };
     CHECK(ask("/q/0000000000000001", std::nullopt) == Kind::NotReady);
     CHECK_FALSE(core.isReady());
-    core.handle(usPerS, ConfigurationRead{FleetWorld::configuration()}, actions);
+    core.apply(usPerS, ConfigurationRead{FleetWorld::configuration()}, actions);
     CHECK(ask("/x/0000000000000001", std::nullopt) == Kind::UnknownRoute);
     CHECK(ask("/q/0000000000000001", std::nullopt) == Kind::Malformed);
     CHECK(ask("/q/not-an-id", JobRequest{"", {{1, {1000, 1, 0}, 0, {}, {}}}, true, {}}) == Kind::Malformed);
--- /dev/null
+++ b/tests/unit/command/fleet_size_test.cpp
@@ -0,0 +1,96 @@
+// Tests of work that must not grow with the number of entry VMs and backend servers.
+#include "unit/command/fleet_world.h"
+
+#include <catch2/catch.hpp>
+
+namespace clementinelift::command {
+namespace {
+
+// Guards against a scan of all backend servers for each renewal of a registry entry: a commander reads 700 a second.
+TEST_CASE("a renewed registry entry without changes causes no work")
+{
+    FleetWorld world({});
+    world.start();
+    const std::uint64_t version = world.core(0).commander().capacityVersion();
+    for (int server = 0; server < world.serverCount(); ++server)
+        world.deliver(0, ServerListed{world.server(server).entry});
+    CHECK(world.core(0).commander().capacityVersion() == version);
+    world.drainServer(0, true);
+    CHECK(world.core(0).commander().capacityVersion() > version);
+}
+
+// Guards against a pass over all waiting jobs and backend servers for each event under overload.
+TEST_CASE("events that arrive together cause one placing pass")
+{
+    FleetWorld world({.zones = {{"a", 1, 4}}});
+    world.start();
+    for (std::uint64_t number = 1; number <= 40; ++number)
+        world.submit(0, {.id = makeJobId(number), .tasks = 4, .workUs = 900 * usPerMs, .path = "/l/"});
+    world.runFor(50 * usPerMs);
+    REQUIRE(world.core(0).waitingCount() > 10);
+    const std::uint64_t passes = world.core(0).counters().placingPasses;
+    world.freeze(0, 200 * usPerMs); // the events of this time arrive together
+    world.runFor(210 * usPerMs);
+    CHECK(world.core(0).counters().placingPasses - passes <= 3);
+}
+
+// Within 500 ms.
+int countTicks(FleetWorld &world, int node)
+{
+    int ticks = 0;
+    for (int step = 0; step < 50; ++step) {
+        const TimeUs before = world.core(node).nextTick();
+        world.runFor(10 * usPerMs);
+        ticks += world.core(node).nextTick() > before ? 1 : 0;
+    }
+    return ticks;
+}
+
+// Guards against time-outs that are checked 50 times a second on entry VMs that have nothing to time out.
+TEST_CASE("ticks are rare while no job and no run is in progress, and frequent otherwise")
+{
+    FleetWorld world({.zones = {{"a", 5, 6, {500, 500, 90, 90, 90}}}});
+    world.start();
+    world.runFor(usPerS);
+    for (int node = 0; node < world.nodeCount(); ++node)
+        CHECK(countTicks(world, node) <= 10);
+    for (int node = 0; node < 2; ++node) {
+        world.submit(node, {.id = makeJobId(1), .tasks = 6, .workUs = 600 * usPerMs});
+        CHECK(countTicks(world, node) >= 18);
+        world.runFor(2 * usPerS);
+    }
+}
+
+std::size_t countLinks(std::size_t rank, std::size_t count, std::size_t otherCount, std::size_t zoneCount)
+{
+    std::size_t links = 0;
+    for (std::size_t other = 0; other < otherCount; ++other)
+        links += areLinked(rank, count, other, otherCount, zoneCount) ? 1 : 0;
+    return links;
+}
+
+// Guards against messages between commanders that grow with the square of the number of availability zones, and
+// against a zone whose commanders cannot use the free capacity of another zone.
+TEST_CASE("each commander is linked to each other zone, to fewer commanders the more zones there are")
+{
+    for (std::size_t zones = 2; zones <= 16; ++zones) {
+        for (std::size_t count = 1; count <= 6; ++count) {
+            for (std::size_t otherCount = 1; otherCount <= 6; ++otherCount) {
+                for (std::size_t rank = 0; rank < count; ++rank) {
+                    CHECK(countLinks(rank, count, otherCount, zones) >= 1);
+                    for (std::size_t other = 0; other < otherCount; ++other)
+                        CHECK(areLinked(rank, count, other, otherCount, zones)
+                              == areLinked(other, otherCount, rank, count, zones));
+                }
+            }
+        }
+    }
+    for (std::size_t rank = 0; rank < 6; ++rank) {
+        CHECK(countLinks(rank, 6, 6, 3) == 6);
+        CHECK(countLinks(rank, 6, 6, 5) == 3);
+        CHECK(countLinks(rank, 6, 6, 8) == 1);
+    }
+}
+
+} // namespace
+} // namespace clementinelift::command
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -407,7 +407,13 @@
     void handle(int index, Event &&event)
     {
         std::vector<Action> actions;
-        m_nodes[static_cast<std::size_t>(index)].core->handle(m_now, std::move(event), actions);
+        FleetDispatcher &core = *m_nodes[static_cast<std::size_t>(index)].core;
+        core.apply(m_now, std::move(event), actions);
+        core.placeTasks(m_now, actions);
+        performActions(index, actions);
+    }
+    void performActions(int index, std::vector<Action> &actions)
+    {
         for (Action &action : actions)
             std::visit([&](auto &content) { act(index, content); }, action);
     }
@@ -424,8 +430,11 @@
         }
         std::vector<Event> backlog = std::move(node.backlog);
         node.backlog.clear();
+        std::vector<Action> actions;
         for (Event &event : backlog)
-            handle(index, std::move(event));
+            node.core->apply(m_now, std::move(event), actions);
+        node.core->placeTasks(m_now, actions);
+        performActions(index, actions);
     }
 
     static void setCut(Pairs &cuts, std::pair<int, int> pair, bool cut)
@@ -440,8 +449,10 @@
     {
         if (m_nodes[static_cast<std::size_t>(index)].incarnation != incarnation)
             return;
-        deliver(index, Tick{});
-        const TimeUs wake = std::max(m_now + 20 * usPerMs, m_nodes[static_cast<std::size_t>(index)].frozenUntil);
+        // As the daemon does, looks again before the next tick is due, because events may bring it forward.
+        if (m_now >= core(index).nextTick())
+            deliver(index, Tick{});
+        const TimeUs wake = std::max(m_now + 10 * usPerMs, m_nodes[static_cast<std::size_t>(index)].frozenUntil);
         at(wake, [this, index, incarnation] { tick(index, incarnation); });
     }
 
