Wake the control thread only for urgent messages

Cause: without jobs, a front VM of a zone with six commanders wakes its control thread 40 times a second for heartbeats and 20 times for ticks, a commander several hundred times.

Change: heartbeats, and reports of capacity while no job waits, stay in the queue until the next event or tick (wakeup.h). Ticks come every 75 ms instead of 50 without work, and every 20 ms while capacity has changed and is not reported, and until a new process is ready.

Tests: fleet_size_test (wakeups of idle entry VMs: failed in 12 places with every message urgent), event_queue_test. The played world delivers messages in the same way.

--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-constexpr TimeUs tickUs = 20 * usPerMs;            // resolution of time limits; tasks take at least 50 ms
-constexpr TimeUs idleTickUs = 50 * usPerMs;        // without jobs or runs here; a third of the heartbeat interval
+constexpr TimeUs tickUs = 20 * usPerMs;           // resolution of time limits; tasks take at least 50 ms
+constexpr TimeUs idleTickUs = 75 * usPerMs;       // without jobs or runs here; half of the heartbeat interval
+constexpr TimeUs forwardingTickUs = 50 * usPerMs; // bounds how long the disconnect of a caller is not noticed
+constexpr TimeUs startUpUs = 3 * usPerS; // links, elections and shards follow each other; none waits for a tick
 constexpr TimeUs pauseThresholdUs = 300 * usPerMs; // a longer gap between events means that the process was suspended
 constexpr TimeUs resumeDelayUs = 100 * usPerMs;    // without starts after a pause, to detect lost callers and peers
 constexpr TimeUs answerReserveUs = 15 * usPerMs;   // for delivering the answer before the caller's timeout
@@ -45,15 +47,20 @@
     m_lastEventAt = now;
     std::visit([this](auto &content) { on(content); }, event);
     deliverRunEnds();
-    if (hasTimeLimits())
+    if (needsFrequentTicks())
         m_nextTick = std::min(m_nextTick, now + tickUs);
+    else if (!m_forwarded.empty())
+        m_nextTick = std::min(m_nextTick, now + forwardingTickUs);
 }
 
 // Forwarded requests have none here: their coordinator watches them.
-bool FleetDispatcher::hasTimeLimits() const
+bool FleetDispatcher::needsFrequentTicks() const
 {
-    return !m_jobs.empty() || !m_queuedRequests.empty() || !m_endingRuns.empty() || m_commander.hasRuns()
-            || m_drainingSince != never;
+    const bool hasTimeLimits = !m_jobs.empty() || !m_queuedRequests.empty() || !m_endingRuns.empty()
+            || m_commander.hasRuns() || m_drainingSince != never;
+    const bool hasUnreportedCapacity = m_commander.capacityVersion() != m_seenCapacityVersion;
+    const bool isStartingUp = m_now - m_startedAt < startUpUs && !isReady();
+    return hasTimeLimits || hasUnreportedCapacity || isStartingUp;
 }
 
 // Separate from apply(), because a pass over waiting jobs and free capacity costs far more than an event: a commander
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -221,7 +221,7 @@
     void refuseJob(Job &job, std::string_view reason, TimeUs retryAfterUs);
     void endJob(Job &job, AnswerKind kind, std::string_view reason, TimeUs retryAfterUs);
     void stopRuns(Job &job);
-    bool hasTimeLimits() const;
+    bool needsFrequentTicks() const;
     TimeUs drainEnd() const;
     void endDrain();
     void removeLapsedServers();
--- a/packages/dispatcher/fleet_daemon.cpp
+++ b/packages/dispatcher/fleet_daemon.cpp
@@ -1,6 +1,7 @@
 #include "dispatcher/fleet_daemon.h"
 
 #include "command/fleet_dispatcher.h"
+#include "command/wakeup.h"
 #include "dispatcher/event_queue.h"
 #include "dispatcher/fleet_metrics.h"
 #include "dispatcher/logging.h"
@@ -93,6 +94,7 @@
     std::thread control;
     std::atomic<bool> quit = false;
     std::atomic<bool> drained = false;
+    std::atomic<bool> hasWaitingJobs = false;
 
     // Used on the control thread only.
     std::vector<command::Action> actions;
@@ -192,8 +194,10 @@
         std::vector<command::PeerMessage> messages;
         if (!net::decodeFleetFrame(bytes, messages))
             log(NoticeLevel::Warning, "peers", "cannot decode frame node=" + peer.node);
-        for (command::PeerMessage &message : messages)
-            queue.push(command::PeerReceived{peer.node, std::move(message)});
+        for (command::PeerMessage &message : messages) {
+            const bool isUrgent = command::isUrgent(message, hasWaitingJobs);
+            queue.push(Event(command::PeerReceived{peer.node, std::move(message)}), isUrgent);
+        }
     };
     std::string error;
     links = net::PeerLinks::start(link, std::move(handlers), error);
@@ -240,6 +244,7 @@
         sendPeerMessages();
         store->delayShardHandover(!core.mayReleaseShards());
         drained = core.isDrained();
+        hasWaitingJobs = core.waitingCount() > 0;
     }
 }
 
--- a/tests/unit/command/fleet_load_test.cpp
+++ b/tests/unit/command/fleet_load_test.cpp
@@ -205,7 +205,8 @@
 {
     constexpr double target = 0.85;
     const char *wanted = std::getenv("FLEET_LOAD_SEEDS");
-    const std::uint64_t seeds = wanted == nullptr ? 4 : std::strtoul(wanted, nullptr, 10);
+    // The share depends on which backend servers are slow, so it is a mean over many choices of them.
+    const std::uint64_t seeds = wanted == nullptr ? 24 : std::strtoul(wanted, nullptr, 10);
     double sum = 0;
     double answered = 0;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
--- a/tests/unit/command/fleet_size_test.cpp
+++ b/tests/unit/command/fleet_size_test.cpp
@@ -34,6 +34,37 @@
     CHECK(world.core(0).counters().placingPasses - passes <= 3);
 }
 
+// Guards against a control thread that wakes for each heartbeat: a front VM of a zone with six commanders receives 40 a
+// second, and a commander of a zone with 25 front VMs several hundred.
+TEST_CASE("an entry VM without jobs does not wake for each heartbeat")
+{
+    FleetWorld world({.zones = {{"a", 12, 6, {500, 500, 500, 500, 500, 500, 90, 90, 90, 90, 90, 90}}}});
+    world.start();
+    world.runFor(usPerS);
+    std::vector<std::uint64_t> before;
+    for (int node = 0; node < world.nodeCount(); ++node)
+        before.push_back(world.wakeups(node));
+    world.runFor(usPerS);
+    for (int node = 0; node < world.nodeCount(); ++node)
+        CHECK(world.wakeups(node) - before[static_cast<std::size_t>(node)] <= 25);
+}
+
+// Guards against a job that waits although a report of free capacity has arrived.
+TEST_CASE("a report of free capacity is urgent only while jobs wait for it")
+{
+    CapacityReport heartbeat;
+    CapacityReport report;
+    report.capacities.push_back({.server = "s", .usable = true});
+    CHECK_FALSE(isUrgent(heartbeat, true));
+    CHECK_FALSE(isUrgent(report, false));
+    CHECK(isUrgent(report, true));
+    CHECK(isUrgent(TaskEnded{}, false));
+    CHECK(isUrgent(PlaceTasks{}, false));
+    CHECK(isUrgent(StopJob{}, false));
+    CHECK(isUrgent(ForwardRequest{}, false));
+    CHECK(isUrgent(ForwardAnswer{}, false));
+}
+
 // Within 500 ms.
 int countTicks(FleetWorld &world, int node)
 {
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -16,6 +16,7 @@
 #pragma once
 
 #include "command/fleet_dispatcher.h"
+#include "command/wakeup.h"
 
 #include <cstdio>
 #include <functional>
@@ -173,6 +174,7 @@
     int nodeCount() const { return static_cast<int>(m_nodes.size()); }
     int serverCount() const { return static_cast<int>(m_servers.size()); }
     SimServer &server(int index) { return m_servers[static_cast<std::size_t>(index)]; }
+    std::uint64_t wakeups(int node) const { return m_nodes[static_cast<std::size_t>(node)].wakeups; }
     FleetDispatcher &core(int node) { return *m_nodes[static_cast<std::size_t>(node)].core; }
     bool isUp(int node) const { return m_nodes[static_cast<std::size_t>(node)].core != nullptr; }
     TimeUs now() const { return m_now; }
@@ -227,6 +229,7 @@
         Node &node = m_nodes[static_cast<std::size_t>(index)];
         node.core.reset();
         node.backlog.clear();
+        node.inbox.clear();
         node.frozenUntil = 0;
         ++node.incarnation;
         std::erase_if(m_heldMessages,
@@ -345,6 +348,12 @@
                 at(node.frozenUntil, [this, index, incarnation = node.incarnation] { thaw(index, incarnation); });
             return;
         }
+        // As in the daemon, a message that is not urgent waits for the next event or tick.
+        const auto *received = std::get_if<PeerReceived>(&event);
+        if (received != nullptr && !isUrgent(received->message, node.core->waitingCount() > 0)) {
+            node.inbox.push_back(std::move(event));
+            return;
+        }
         handle(index, std::move(event));
     }
 
@@ -391,6 +400,8 @@
         int incarnation = 0;
         TimeUs frozenUntil = 0;
         std::vector<Event> backlog = {}; // arrived while frozen
+        std::vector<Event> inbox = {};   // messages that are not urgent
+        std::uint64_t wakeups = 0;       // of the control thread
     };
     struct Scheduled
     {
@@ -407,9 +418,12 @@
     void handle(int index, Event &&event)
     {
         std::vector<Action> actions;
-        FleetDispatcher &core = *m_nodes[static_cast<std::size_t>(index)].core;
-        core.apply(m_now, std::move(event), actions);
-        core.placeTasks(m_now, actions);
+        Node &node = m_nodes[static_cast<std::size_t>(index)];
+        ++node.wakeups;
+        for (Event &received : std::exchange(node.inbox, {}))
+            node.core->apply(m_now, std::move(received), actions);
+        node.core->apply(m_now, std::move(event), actions);
+        node.core->placeTasks(m_now, actions);
         performActions(index, actions);
     }
     void performActions(int index, std::vector<Action> &actions)
@@ -431,6 +445,9 @@
         std::vector<Event> backlog = std::move(node.backlog);
         node.backlog.clear();
         std::vector<Action> actions;
+        ++node.wakeups;
+        for (Event &received : std::exchange(node.inbox, {}))
+            node.core->apply(m_now, std::move(received), actions);
         for (Event &event : backlog)
             node.core->apply(m_now, std::move(event), actions);
         node.core->placeTasks(m_now, actions);
