Send heartbeats by the use of a link, and capacity to other zones on demand

Reports to other zones go out 16 times a second on each of 12 links, while hardly any job finds no capacity in its own zone.

Change: a heartbeat every 150 ms only while requests or runs of one side depend on the other; otherwise every 300 ms between commanders and every 600 ms between a front VM and a commander. The limit for lost contact is 700 ms as before on links in use, 2 s on idle ones. An order or a request that is too old makes its receiver send a report at once; a front VM then forwards the request once more instead of refusing its caller. An order and a request that are not too old confirm contact, as a report does. Reports tell whether their sender has waiting tasks; other zones send changes of capacity only then.

Tests: three cases of fleet_size_test; a request after a quiet time is refused without the second attempt.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -677,6 +677,14 @@
                        [](const Server &server) { return server.handingOver && !server.runs.empty(); });
 }
 
+std::vector<std::string_view> Commander::runCoordinators() const
+{
+    std::vector<std::string_view> coordinators;
+    for (const auto &[task, run] : m_runs)
+        coordinators.push_back(run.coordinator);
+    return coordinators;
+}
+
 std::size_t Commander::commandedCount() const
 {
     return static_cast<std::size_t>(std::count_if(m_servers.begin(), m_servers.end(),
--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -91,6 +91,8 @@
     // Free capacities of the commanded backend servers, for placing here and for reports to peers.
     std::vector<CapacityReport::ServerCapacity> capacities(TimeUs now) const;
     bool hasRuns() const { return !m_runs.empty(); }
+    // Coordinators of the runs, with repetitions; valid until the next event.
+    std::vector<std::string_view> runCoordinators() const;
     bool isCommanded(std::string_view server) const;
     // Whether backend servers of shards assigned to another entry VM still have runs here. Only without such runs can
     // the shards be handed over.
--- a/packages/command/events.h
+++ b/packages/command/events.h
@@ -304,6 +304,7 @@
     std::uint32_t lossCount = 0; // how often the sender has lost the receiver and given up the runs it requested there
     std::vector<ServerCapacity> capacities; // changes since the last report; not usable: remove the entry
     std::int64_t configurationVersion = 0;
+    bool wantsCapacity = true; // the sender has waiting tasks, or had some recently
 };
 // A configuration that the receiver may not have yet.
 struct RelayedConfiguration
--- a/packages/command/fleet_coordination.cpp
+++ b/packages/command/fleet_coordination.cpp
@@ -13,7 +13,11 @@
 constexpr TimeUs unreachableUs = 1500 * usPerMs; // without a link; allows for a restart and several connection attempts
 constexpr TimeUs demotionDelayUs = 5 * usPerS;   // shards do not move when a commander returns only briefly
 constexpr TimeUs unneededLinkUs = 10 * usPerS;   // an unneeded link is closed after this
-constexpr TimeUs maxRequestAgeUs = 450 * usPerMs;     // as for orders between commanders: three heartbeats
+constexpr TimeUs maxRequestAgeUs = 450 * usPerMs; // as for orders between commanders: three heartbeats
+// A request whose coordinator has been silent for longer is kept for a second attempt; below maxRequestAgeUs by more
+// than a message takes.
+constexpr TimeUs mayBeTooOldUs = 200 * usPerMs;
+constexpr std::string_view requestTooOld = "request_too_old";
 constexpr TimeUs coordinatorWaitUs = 600 * usPerMs;   // a process has its links within 500 ms of its start
 constexpr std::size_t maxQueuedRequests = 500;        // of 16 KB at most each
 constexpr std::uint64_t remoteCallerBit = 1ULL << 63; // ids of own callers count up from 1
@@ -178,10 +182,32 @@
     // than the current time.
     m_lastForwarded = std::max(m_lastForwarded, static_cast<std::uint64_t>(m_now)) + 1;
     const std::uint64_t sequence = m_lastForwarded;
-    m_forwarded[sequence] = {request.caller, node, std::string(job), request.verb == Verb::Submit};
+    const Peer &coordinator = m_peers.at(node);
+    ForwardedRequest &forwarded = m_forwarded[sequence] = {request.caller, node, std::string(job),
+                                                           request.verb == Verb::Submit, coordinator.reportSentAt};
+    if (m_now - coordinator.lastContactAt > mayBeTooOldUs)
+        forwarded.copy = request;
     m_forwardedByCaller[request.caller] = sequence;
     ++m_counters.forwardedRequests;
-    m_actions->push_back(SendPeer{node, ForwardRequest{sequence, m_peers.at(node).reportSentAt, std::move(request)}});
+    m_actions->push_back(SendPeer{node, ForwardRequest{sequence, coordinator.reportSentAt, std::move(request)}});
+}
+
+// After a quiet time the echo of a request may be too old for the coordinator, which then sends a report with its
+// rejection. The caller still waits, so the request is forwarded once more with the echo of that report.
+bool FleetDispatcher::tryForwardAgain(const std::string &node, const Peer &peer, const ForwardAnswer &message)
+{
+    const auto found = m_forwarded.find(message.sequence);
+    ForwardedRequest &request = found->second;
+    if (message.answer.kind != AnswerKind::Refused || message.answer.reason != requestTooOld || !request.copy
+        || request.echo == peer.reportSentAt)
+        return false;
+    CallerRequest copy = *std::move(request.copy);
+    const std::string job = std::move(request.job);
+    logLine(false, "jobs", concat("request forwarded again job=", job, " coordinator=", node));
+    m_forwardedByCaller.erase(copy.caller);
+    m_forwarded.erase(found);
+    forwardRequest(std::move(copy), job);
+    return true;
 }
 
 // Queues a request for at most coordinatorWaitUs while a coordinator is likely to be found: after the start of this
@@ -212,11 +238,13 @@
     }
 }
 
-void FleetDispatcher::onMessage(const std::string &node, Peer &, ForwardAnswer &message)
+void FleetDispatcher::onMessage(const std::string &node, Peer &peer, ForwardAnswer &message)
 {
     const auto found = m_forwarded.find(message.sequence);
     if (found == m_forwarded.end() || found->second.node != node)
         return; // the caller has disconnected
+    if (tryForwardAgain(node, peer, message))
+        return;
     AnswerCaller answer = std::move(message.answer);
     answer.caller = found->second.caller;
     if (found->second.submits)
@@ -262,7 +290,7 @@
 
 // Requests of other entry VMs -----------------------------------------------------------------------
 
-void FleetDispatcher::onMessage(const std::string &node, Peer &, ForwardRequest &message)
+void FleetDispatcher::onMessage(const std::string &node, Peer &peer, ForwardRequest &message)
 {
     const CallerId caller{remoteCallerBit | ++m_lastRemoteCaller};
     m_remoteCallers[caller] = {node, message.sequence};
@@ -273,9 +301,11 @@
         // The sender may have given up the request, and the caller may have submitted the job again.
         logLine(true, "peers",
                 concat("request rejected as too old node=", node, " echo_age_ms=", (m_now - message.echo) / usPerMs));
-        answer(caller, AnswerKind::Refused, "request_too_old", usPerS);
+        sendReport(node, peer, false); // the next request echoes it
+        answer(caller, AnswerKind::Refused, requestTooOld, usPerS);
         return;
     }
+    confirmContact(node, peer);
     processRequest(message.request);
 }
 
--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -223,6 +223,7 @@
 {
     m_nextTick = m_now + idleTickUs;
     m_commander.tick(m_now, *m_actions, m_ended);
+    markPeersInUse();
     for (auto &[node, peer] : m_peers)
         checkPeer(node, peer);
     elect();
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -113,9 +113,11 @@
     {
         std::string zone;
         bool connected = false;
-        bool lost = true;         // contact is lost; the runs requested by either side are given up
-        bool coordinates = false; // it commands backend servers and accepts forwarded requests
-        bool stopping = false;    // it drains; requests are forwarded to it only when there is no other coordinator
+        bool lost = true;          // contact is lost; the runs requested by either side are given up
+        bool coordinates = false;  // it commands backend servers and accepts forwarded requests
+        bool stopping = false;     // it drains; requests are forwarded to it only when there is no other coordinator
+        bool inUse = false;        // as of the last tick: requests or runs of one side depend on the other
+        bool wantsCapacity = true; // as last reported by it
         TimeUs lastContactAt = 0;
         TimeUs contactConfirmedAt = 0;     // last report with hasRecentContact set
         std::uint32_t lossCount = 0;       // how often this entry VM has lost the peer
@@ -127,6 +129,7 @@
         std::vector<InFlight> inFlight;
         std::map<std::string, PeerCapacity, std::less<>> capacities;
         TimeUs reportAt = 0;               // when the last report was sent to it
+        bool reportedWant = false;         // wantsCapacity of the last report sent to it
         std::uint64_t reportedVersion = 0; // of m_reported, as last sent to it
     };
     struct ReportedCapacity
@@ -150,6 +153,8 @@
         std::string node; // coordinator
         std::string job;
         bool submits = false;
+        TimeUs echo = 0;                        // as sent
+        std::optional<CallerRequest> copy = {}; // kept when the echo is old and the coordinator may reject it
     };
     // A request that waits for the end of resumeDelayUs or for a coordinator.
     struct QueuedRequest
@@ -203,6 +208,7 @@
     bool isCoordinator(const Peer &peer) const;
     bool hasCoordinator() const;
     void forwardRequest(CallerRequest &&request, std::string_view job);
+    bool tryForwardAgain(const std::string &node, const Peer &peer, const ForwardAnswer &message);
     bool tryQueueRequest(CallerRequest &request);
     void dropCallersOf(const std::string &node);
     void flushQueuedRequests();
@@ -247,7 +253,11 @@
     void relayConfiguration(const std::string &node, Peer &peer, std::int64_t version);
     void handleLossCount(const std::string &node, Peer &peer, std::uint32_t lossCount);
     void checkPeer(const std::string &node, Peer &peer);
+    void markPeersInUse();
+    void confirmContact(const std::string &node, Peer &peer);
     void updateReportedCapacities();
+    bool isReportDue(const Peer &peer) const;
+    void sendReport(const std::string &node, Peer &peer, bool withCapacities);
     void sendCapacityReports();
 
     void logLine(bool warning, std::string_view part, std::string text);
@@ -276,6 +286,7 @@
     std::map<std::string, Announced, std::less<>> m_announced;
     TimeUs m_electionsFrom = never; // start of elections, once the entry VMs are known
     TimeUs m_lastElectionAt = 0;    // last election
+    TimeUs m_waitedAt = 0;          // last time that tasks waited after a placing pass
     bool m_commands = false;
     bool m_takesShards = false;      // as last sent to the store
     ShardsAssigned m_assignedShards; // as last reported by the store
--- a/packages/command/fleet_peers.cpp
+++ b/packages/command/fleet_peers.cpp
@@ -9,11 +9,18 @@
 namespace {
 
 constexpr TimeUs reportIntervalUs = 20 * usPerMs; // shortest time between reports of changed capacities
-// The same to other availability zones: most jobs find capacity in their own zone, and traffic between zones costs
-// money.
+// The same to other availability zones while tasks wait there: most jobs find capacity in their own zone, and traffic
+// between zones costs money.
 constexpr TimeUs otherZoneReportIntervalUs = 60 * usPerMs;
-// Of reports without changes. A peer counts as lost after more than four missing heartbeats.
+// Of reports without changes, while requests or runs of one side depend on the other. A peer counts as lost after more
+// than four missing heartbeats.
 constexpr TimeUs heartbeatIntervalUs = 150 * usPerMs;
+// The same while nothing depends on the link, between commanders. An order after a quiet time must not be too old, so
+// this is shorter than maxOrderAgeUs. Nearly all messages of a deployment without jobs are heartbeats.
+constexpr TimeUs idleHeartbeatIntervalUs = 300 * usPerMs;
+// The same between a front VM and a commander. A request that is rejected as too old is forwarded again at once.
+constexpr TimeUs idleFrontHeartbeatIntervalUs = 600 * usPerMs;
+constexpr TimeUs wantDurationUs = 1 * usPerS; // capacity of other zones is wanted for this long after tasks waited
 // An order is rejected when the last report that its sender had received from here is older than this. The limit of
 // three heartbeats bounds the age of orders delayed by a network partition or a pause, without comparing clocks.
 constexpr TimeUs maxOrderAgeUs = 450 * usPerMs;
@@ -75,6 +82,38 @@
     std::visit([&](auto &message) { onMessage(found->first, peer, message); }, event.message);
 }
 
+// The peer has received messages of this entry VM recently.
+void FleetDispatcher::confirmContact(const std::string &node, Peer &peer)
+{
+    peer.contactConfirmedAt = m_now;
+    m_commander.setLastContact(node, m_now);
+}
+
+void FleetDispatcher::markPeersInUse()
+{
+    for (auto &[node, peer] : m_peers)
+        peer.inUse = !peer.inFlight.empty();
+    const auto mark = [this](std::string_view node) {
+        const auto peer = m_peers.find(node);
+        if (peer != m_peers.end())
+            peer->second.inUse = true;
+    };
+    for (const auto &[sequence, request] : m_forwarded)
+        mark(request.node);
+    for (const auto &[origin, caller] : m_remoteCallerIds)
+        mark(origin.first);
+    for (const auto &[id, job] : m_jobs) {
+        for (const Task &task : job.tasks) {
+            if (task.state == TaskState::Placed || task.state == TaskState::Blocked)
+                mark(task.node);
+        }
+    }
+    for (const auto &[task, run] : m_endingRuns)
+        mark(run.node);
+    for (const std::string_view coordinator : m_commander.runCoordinators())
+        mark(coordinator);
+}
+
 void FleetDispatcher::relayConfiguration(const std::string &node, Peer &peer, std::int64_t version)
 {
     if (version >= m_routes.configuration().version) {
@@ -105,10 +144,14 @@
     peer.lastHandled = std::max(peer.lastHandled, message.sequence);
     handleLossCount(node, peer, message.lossCount);
     const bool isStale = m_now - message.echo > maxOrderAgeUs || m_now < m_noStartsUntil;
-    if (isStale)
+    if (isStale) {
         logLine(true, "peers",
                 concat("order rejected as too old job=", message.job, " node=", node,
                        " echo_age_ms=", (m_now - message.echo) / usPerMs));
+        sendReport(node, peer, false); // the next order echoes it
+    } else {
+        confirmContact(node, peer);
+    }
     for (const PlaceTasks::Item &item : message.items) {
         if (!isStale && m_commander.start(m_now, node, message, item, *m_actions)) {
             ++m_counters.starts;
@@ -139,10 +182,9 @@
     peer.reportSentAt = message.sentAt;
     peer.coordinates = message.coordinates;
     peer.stopping = message.stopping;
-    if (message.hasRecentContact) {
-        peer.contactConfirmedAt = m_now;
-        m_commander.setLastContact(node, m_now);
-    }
+    peer.wantsCapacity = message.wantsCapacity;
+    if (message.hasRecentContact)
+        confirmContact(node, peer);
     std::erase_if(peer.inFlight, [&](const InFlight &order) {
         if (order.sequence > message.lastSequence)
             return false;
@@ -199,35 +241,53 @@
     }
 }
 
+bool FleetDispatcher::isReportDue(const Peer &peer) const
+{
+    const TimeUs sinceReport = m_now - peer.reportAt;
+    const bool isOwnZone = peer.zone == m_settings.zone;
+    const TimeUs idleIntervalUs =
+            m_commands && peer.coordinates ? idleHeartbeatIntervalUs : idleFrontHeartbeatIntervalUs;
+    if (sinceReport >= (peer.inUse ? heartbeatIntervalUs : idleIntervalUs))
+        return true;
+    const bool wants = m_now - m_waitedAt < wantDurationUs;
+    if (wants && !peer.reportedWant && peer.coordinates)
+        return true;
+    if (!peer.coordinates || peer.reportedVersion >= m_reportVersion)
+        return false;
+    if (isOwnZone)
+        return sinceReport >= reportIntervalUs;
+    return peer.wantsCapacity && sinceReport >= otherZoneReportIntervalUs;
+}
+
+void FleetDispatcher::sendReport(const std::string &node, Peer &peer, bool withCapacities)
+{
+    CapacityReport report;
+    report.sentAt = m_now;
+    report.coordinates = m_commands && m_serversKnown;
+    report.stopping = m_drainingSince != never;
+    report.lastSequence = peer.lastHandled;
+    report.hasRecentContact = !peer.lost;
+    report.lossCount = peer.lossCount;
+    report.configurationVersion = m_routes.configuration().version;
+    report.wantsCapacity = m_now - m_waitedAt < wantDurationUs;
+    if (withCapacities && peer.coordinates && peer.reportedVersion < m_reportVersion) {
+        for (const auto &[server, reported] : m_reported) {
+            if (reported.version > peer.reportedVersion)
+                report.capacities.push_back(reported.capacity);
+        }
+        peer.reportedVersion = m_reportVersion;
+    }
+    peer.reportAt = m_now;
+    peer.reportedWant = report.wantsCapacity;
+    m_actions->push_back(SendPeer{node, std::move(report)});
+}
+
 void FleetDispatcher::sendCapacityReports()
 {
     updateReportedCapacities();
     for (auto &[node, peer] : m_peers) {
-        if (!peer.connected)
-            continue;
-        const TimeUs sinceReport = m_now - peer.reportAt;
-        const bool hasChanges = peer.coordinates && peer.reportedVersion < m_reportVersion;
-        const TimeUs changeIntervalUs = peer.zone == m_settings.zone ? reportIntervalUs : otherZoneReportIntervalUs;
-        const bool areChangesDue = hasChanges && sinceReport >= changeIntervalUs;
-        if (!areChangesDue && sinceReport < heartbeatIntervalUs)
-            continue;
-        CapacityReport report;
-        report.sentAt = m_now;
-        report.coordinates = m_commands && m_serversKnown;
-        report.stopping = m_drainingSince != never;
-        report.lastSequence = peer.lastHandled;
-        report.hasRecentContact = !peer.lost;
-        report.lossCount = peer.lossCount;
-        report.configurationVersion = m_routes.configuration().version;
-        if (hasChanges) {
-            for (const auto &[server, reported] : m_reported) {
-                if (reported.version > peer.reportedVersion)
-                    report.capacities.push_back(reported.capacity);
-            }
-            peer.reportedVersion = m_reportVersion;
-        }
-        peer.reportAt = m_now;
-        m_actions->push_back(SendPeer{node, std::move(report)});
+        if (peer.connected && isReportDue(peer))
+            sendReport(node, peer, true);
     }
 }
 
--- a/packages/command/fleet_placing.cpp
+++ b/packages/command/fleet_placing.cpp
@@ -89,6 +89,8 @@
                 placeJob(job, false);
         }
     }
+    if (!m_waiting.empty())
+        m_waitedAt = m_now;
     refuseHopelessJobs(); // after placing, so that free capacity is used independently of the estimates
 }
 
@@ -342,9 +344,10 @@
 void FleetDispatcher::checkPeer(const std::string &node, Peer &peer)
 {
     // A caller submits its job again 1,300 ms after its entry VM has failed; the runs have to be stopped before.
-    constexpr TimeUs contactTimeoutUs = 700 * usPerMs;
-    const bool isContactLost =
-            m_now - peer.lastContactAt > contactTimeoutUs || m_now - peer.contactConfirmedAt > contactTimeoutUs;
+    constexpr TimeUs inUseTimeoutUs = 700 * usPerMs;
+    constexpr TimeUs idleTimeoutUs = 2000 * usPerMs; // three heartbeats of a link on which nothing depends
+    const TimeUs timeoutUs = peer.inUse ? inUseTimeoutUs : idleTimeoutUs;
+    const bool isContactLost = m_now - peer.lastContactAt > timeoutUs || m_now - peer.contactConfirmedAt > timeoutUs;
     if (peer.lost || (peer.connected && !isContactLost))
         return;
     peer.lost = true;
--- a/packages/net/fleet_codec.cpp
+++ b/packages/net/fleet_codec.cpp
@@ -51,7 +51,7 @@
     }
     return Json::array({Type::Room, message.sentAt, message.coordinates, message.stopping, message.lastSequence,
                         message.hasRecentContact, message.lossCount, std::move(capacities),
-                        message.configurationVersion});
+                        message.configurationVersion, message.wantsCapacity});
 }
 
 Json encode(const command::RelayedConfiguration &message)
@@ -153,6 +153,7 @@
         return {milliCores, memoryMb, accelerators};
     }
     bool isValid() const { return m_valid; }
+    bool hasMore() const { return m_valid && m_next < m_array.size(); }
 
 private:
     const Json *take() { return m_valid && m_next < m_array.size() ? &m_array[m_next++] : nullptr; }
@@ -225,6 +226,8 @@
         message.capacities.push_back(std::move(room));
     }
     message.configurationVersion = fields.number<std::int64_t>();
+    if (fields.hasMore()) // earlier versions do not send it
+        message.wantsCapacity = fields.flag();
     return fields.isValid();
 }
 
--- a/tests/unit/command/fleet_size_test.cpp
+++ b/tests/unit/command/fleet_size_test.cpp
@@ -49,6 +49,76 @@
         CHECK(world.wakeups(node) - before[static_cast<std::size_t>(node)] <= 25);
 }
 
+// Messages within a second.
+std::uint64_t countMessages(FleetWorld &world, int from, int to)
+{
+    const std::uint64_t before = world.sentMessages(from, to);
+    world.runFor(usPerS);
+    return world.sentMessages(from, to) - before;
+}
+
+// Guards against heartbeats that make up nearly all messages of a deployment of hundreds of entry VMs.
+TEST_CASE("heartbeats are rare on links on which nothing depends, and frequent on the others")
+{
+    FleetWorld world({.zones = {{"a", 3, 4, {500, 500, 90}}, {"b", 2, 4, {500, 500}}}});
+    world.start();
+    world.runFor(usPerS);
+    CHECK(countMessages(world, 0, 2) <= 2); // commander to front VM
+    CHECK(countMessages(world, 2, 0) <= 2);
+    CHECK(countMessages(world, 0, 1) <= 4);               // between commanders of a zone
+    CHECK(countMessages(world, 0, 3) <= 4);               // to another zone
+    for (std::uint64_t number = 1; number <= 4; ++number) // some at each coordinator
+        world.submit(2, {.id = makeJobId(number), .tasks = 2, .workUs = 1200 * usPerMs, .path = "/l/"});
+    world.runFor(50 * usPerMs);
+    const std::uint64_t before = world.sentMessages(2, 0);
+    CHECK(countMessages(world, 0, 2) >= 6);
+    CHECK(world.sentMessages(2, 0) - before >= 5);
+}
+
+// Guards against a refusal of the first request that a front VM forwards after a quiet time, whose echo is older than
+// the coordinator accepts.
+TEST_CASE("requests after a quiet time are served")
+{
+    FleetWorld world({.zones = {{"a", 4, 4, {500, 500, 90, 90}}}});
+    world.start();
+    std::vector<CallerId> callers;
+    for (std::uint64_t number = 1; number <= 40; ++number) {
+        world.runFor(1037 * usPerMs);
+        const int node = number % 2 == 0 ? 2 : 3;
+        callers.push_back(world.submit(node, {.id = makeJobId(number), .tasks = 2, .workUs = 60 * usPerMs}));
+    }
+    world.runFor(usPerS);
+    for (const CallerId caller : callers) {
+        REQUIRE(world.answer(caller) != nullptr);
+        CHECK(world.answer(caller)->kind == AnswerKind::Completed);
+        CHECK(world.answer(caller)->afterUs < 100 * usPerMs);
+    }
+    CHECK(join(world.violations()).empty());
+}
+
+// Guards against reports to other zones that nobody reads: each is paid for by the byte and wakes both sides.
+TEST_CASE("capacity is reported to another zone only while tasks wait there")
+{
+    FleetWorld world({.zones = {{"a", 1, 6}, {"b", 1, 2}}});
+    world.start();
+    std::uint64_t number = 0;
+    const auto submit = [&](int node, int jobs) {
+        for (int job = 0; job < jobs; ++job)
+            world.submit(node, {.id = makeJobId(++number), .tasks = 2, .workUs = 400 * usPerMs, .path = "/m/"});
+    };
+    world.runFor(usPerS);
+    const std::uint64_t before = world.sentMessages(0, 1);
+    for (int i = 0; i < 10; ++i) {
+        submit(0, 1);
+        world.runFor(100 * usPerMs);
+    }
+    CHECK(world.sentMessages(0, 1) - before <= 4);
+
+    submit(1, 8); // eight times two tasks on two backend servers with room for two each
+    world.runFor(400 * usPerMs);
+    CHECK(world.core(1).counters().remoteStarts > 0);
+}
+
 // Guards against a job that waits although a report of free capacity has arrived.
 TEST_CASE("a report of free capacity is urgent only while jobs wait for it")
 {
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -360,6 +360,11 @@
     // Observations of the test oracle
     const std::vector<std::string> &violations() const { return m_violations; }
     std::uint64_t starts() const { return m_starts; }
+    std::uint64_t sentMessages(int from, int to) const
+    {
+        const auto found = m_sentMessages.find({from, to});
+        return found == m_sentMessages.end() ? 0 : found->second;
+    }
     std::uint64_t startsOn(int server) const
     {
         const auto found = m_startsOn.find(server);
@@ -513,6 +518,7 @@
     void act(int index, SendPeer &message)
     {
         const int to = findNode(message.node);
+        ++m_sentMessages[{index, to}];
         if (to < 0 || !isUp(to))
             return;
         const int incarnation = m_nodes[static_cast<std::size_t>(to)].incarnation;
@@ -785,6 +791,7 @@
     std::set<std::string> m_refused;
     std::map<std::string, std::uint64_t> m_startsOfJob;
     std::map<int, std::uint64_t> m_startsOn;
+    std::map<std::pair<int, int>, std::uint64_t> m_sentMessages; // by sender and receiver
     Pairs m_cutNodes;
     std::map<std::pair<int, int>, std::vector<PeerMessage>> m_heldMessages; // by sender and receiver
     Pairs m_cutServers;
