Consider only backend servers with room for a waiting task

Change: a pass collects only backend servers with room for the smallest waiting task; the share of free backend servers still counts all. Rejections of requests and orders that are too old are no warnings, as they are repeated.

--- a/packages/command/admission.cpp
+++ b/packages/command/admission.cpp
@@ -31,13 +31,13 @@
     return now > job.arrivedAt + giveUpFactor * (job.dueAt - job.arrivedAt);
 }
 
-bool hasAmpleCapacity(std::span<const Candidate> candidates, const Resources &taskResources)
+bool hasAmpleCapacity(std::span<const Candidate> candidates, std::size_t serverCount, const Resources &taskResources)
 {
     const auto freeCount =
             static_cast<std::size_t>(std::count_if(candidates.begin(), candidates.end(), [&](const Candidate &place) {
                 return taskResources.fitsInto(place.free);
             }));
-    return freeCount * ampleCapacityDivisor >= candidates.size() && freeCount > 0;
+    return freeCount * ampleCapacityDivisor >= serverCount && freeCount > 0;
 }
 
 // A late answer has little value, so while other jobs wait, no job is placed on a backend server where it would be
--- a/packages/command/admission.h
+++ b/packages/command/admission.h
@@ -22,6 +22,7 @@
 TimeUs runTimeLimit(const Job &job, TimeUs now, bool othersWait);
 
 // Whether so many backend servers have room for a further task that jobs may run late although others wait.
-bool hasAmpleCapacity(std::span<const Candidate> candidates, const Resources &taskResources);
+// serverCount: all usable backend servers, also those that are no candidates.
+bool hasAmpleCapacity(std::span<const Candidate> candidates, std::size_t serverCount, const Resources &taskResources);
 
 } // namespace clementinelift::command
--- a/packages/command/fleet_coordination.cpp
+++ b/packages/command/fleet_coordination.cpp
@@ -299,7 +299,7 @@
     message.request.caller = caller;
     if (m_now - message.echo > maxRequestAgeUs || m_now < m_noStartsUntil) {
         // The sender may have given up the request, and the caller may have submitted the job again.
-        logLine(true, "peers",
+        logLine(false, "peers",
                 concat("request rejected as too old node=", node, " echo_age_ms=", (m_now - message.echo) / usPerMs));
         sendReport(node, peer, false); // the next request echoes it
         answer(caller, AnswerKind::Refused, requestTooOld, usPerS);
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -236,6 +236,7 @@
     // Placing
     void dispatch();
     void collectCandidates();
+    Resources smallestWaitingTask() const;
     void placeJob(Job &job, bool othersWait);
     void placeTask(Job &job, std::uint32_t index, Candidate &candidate);
     void flushOrders(Job &job);
@@ -272,6 +273,7 @@
     std::map<std::string, Peer, std::less<>> m_peers;
     std::map<TaskId, EndingRun> m_endingRuns;
     std::vector<Candidate> m_candidates;                           // of one dispatch()
+    std::size_t m_knownCapacityCount = 0;                          // of one dispatch(), with and without room
     std::vector<CapacityReport::ServerCapacity> m_ownCapacities;   // of one dispatch()
     std::map<std::string, std::vector<PlaceTasks::Item>> m_orders; // of one job in placeJob(), by node
     std::vector<RunEndNotice> m_ended;
--- a/packages/command/fleet_peers.cpp
+++ b/packages/command/fleet_peers.cpp
@@ -145,7 +145,7 @@
     handleLossCount(node, peer, message.lossCount);
     const bool isStale = m_now - message.echo > maxOrderAgeUs || m_now < m_noStartsUntil;
     if (isStale) {
-        logLine(true, "peers",
+        logLine(false, "peers",
                 concat("order rejected as too old job=", message.job, " node=", node,
                        " echo_age_ms=", (m_now - message.echo) / usPerMs));
         sendReport(node, peer, false); // the next order echoes it
--- a/packages/command/fleet_placing.cpp
+++ b/packages/command/fleet_placing.cpp
@@ -44,29 +44,52 @@
     m_dispatchNeeded = true;
 }
 
+// Only backend servers with room for the smallest waiting task become candidates. Under overload these are few of a
+// thousand, and a pass costs little more than a comparison for each of the others.
 void FleetDispatcher::collectCandidates()
 {
     m_candidates.clear();
+    m_knownCapacityCount = 0;
+    const Resources smallest = smallestWaitingTask();
     m_ownCapacities = m_commander.capacities(m_now);
     for (const CapacityReport::ServerCapacity &capacity : m_ownCapacities) {
+        if (!capacity.usable)
+            continue;
+        ++m_knownCapacityCount;
         const ServerEntry *entry = m_commander.findEntry(capacity.server);
-        if (capacity.usable && entry != nullptr)
+        if (entry != nullptr && smallest.fitsInto(capacity.free))
             m_candidates.push_back({capacity.server, selfNode, entry->service, capacity.free, capacity.speed, 0});
     }
     for (const auto &[node, peer] : m_peers) {
         if (peer.lost)
             continue;
+        m_knownCapacityCount += peer.capacities.size();
         for (const auto &[server, reported] : peer.capacities) {
+            const Resources free = reported.capacity.free - reported.reserved;
+            if (!smallest.fitsInto(free))
+                continue;
             const ServerEntry *entry = m_commander.findEntry(server);
             if (entry == nullptr || entry->draining || m_commander.isCommanded(server))
                 continue;
-            m_candidates.push_back({server, node, entry->service, reported.capacity.free - reported.reserved,
-                                    reported.capacity.speed,
+            m_candidates.push_back({server, node, entry->service, free, reported.capacity.speed,
                                     peer.zone == m_settings.zone ? peerRoundTripUs : otherZoneRoundTripUs});
         }
     }
 }
 
+// The smallest amount of each resource that some waiting task needs.
+Resources FleetDispatcher::smallestWaitingTask() const
+{
+    Resources smallest{never, never, never};
+    for (const auto &[latestStart, id] : m_waiting) {
+        const Resources &task = m_jobs.find(id)->second.taskResources;
+        smallest.milliCores = std::min(smallest.milliCores, task.milliCores);
+        smallest.memoryMb = std::min(smallest.memoryMb, task.memoryMb);
+        smallest.accelerators = std::min(smallest.accelerators, task.accelerators);
+    }
+    return smallest;
+}
+
 void FleetDispatcher::dispatch()
 {
     if (!m_dispatchNeeded)
@@ -85,7 +108,7 @@
             placeJob(m_jobs.find(id)->second, othersWait);
         for (const std::string &id : order) {
             Job &job = m_jobs.find(id)->second;
-            if (othersWait && job.waiting > 0 && hasAmpleCapacity(m_candidates, job.taskResources))
+            if (othersWait && job.waiting > 0 && hasAmpleCapacity(m_candidates, m_knownCapacityCount, job.taskResources))
                 placeJob(job, false);
         }
     }
