Tell a peer for 1 s after its last message that it is heard

Cause: a link that nothing depends on counts as lost after 2 s without a message. Until then each side told the other that it hears it. With an idle link cut one way, a front VM forwarded a request over it, and its coordinator, which had heard nothing for up to 2 s, confirmed the contact; the caller was answered only after 2.2 s.

Ruled out: a shorter limit for idle links; they are idle for up to 600 ms on purpose, and a busy process is late beside that.

Change: the contact is confirmed only for 1 s after the last message.

Before: the caller of the new test is answered after 2.2 s. After: below the bound of 1.8 s, which is the link's limit of 0.7 s and the recent contact of 1 s together.

--- a/packages/command/fleet_peers.cpp
+++ b/packages/command/fleet_peers.cpp
@@ -23,6 +23,9 @@
 constexpr TimeUs idleHeartbeatIntervalUs = 300 * usPerMs;
 // The same between a front VM and a commander. A request that is rejected as too old is forwarded again at once.
 constexpr TimeUs idleFrontHeartbeatIntervalUs = 600 * usPerMs;
+// A peer is told for this long after its last message that it is heard. Longer than an idle interval, and shorter than
+// an idle link takes to count as lost: with a link that is cut one way, only the other side may be using it.
+constexpr TimeUs recentContactUs = 1000 * usPerMs;
 constexpr TimeUs wantDurationUs = 1 * usPerS; // capacity of other zones is wanted for this long after tasks waited
 // An order is rejected when the last report that its sender had received from here is older than this. The limit of
 // three heartbeats bounds the age of orders delayed by a network partition or a pause, without comparing clocks.
@@ -269,7 +272,7 @@
     report.coordinates = m_commands && m_serversKnown;
     report.stopping = m_drainingSince != never;
     report.lastSequence = peer.lastHandled;
-    report.hasRecentContact = !peer.lost;
+    report.hasRecentContact = !peer.lost && m_now - peer.lastContactAt <= recentContactUs;
     report.lossCount = peer.lossCount;
     report.configurationVersion = m_routes.configuration().version;
     report.wantsCapacity = m_now - m_waitedAt < wantDurationUs;
--- a/tests/unit/command/fleet_coordination_test.cpp
+++ b/tests/unit/command/fleet_coordination_test.cpp
@@ -389,5 +389,21 @@
     CHECK(world.answer(wide)->afterUs < 80 * usPerMs);
 }
 
+// Guards against a caller that waits for a coordinator which has not received its request: the link was idle, and the
+// coordinator, which does not use it, says for longer that it hears the front VM.
+TEST_CASE("a request that is lost on a link cut one way is given up soon")
+{
+    FleetWorld world({.zones = {{"a", 3, 4, {500, 500, 90}}}});
+    world.start();
+    world.runFor(3 * usPerS);
+    for (const int coordinator : {0, 1})
+        world.cutOneWay(2, coordinator);
+    const CallerId caller = world.submit(2, {.id = makeJobId(1), .tasks = 2, .workUs = 60 * usPerMs});
+    world.runFor(4 * usPerS);
+    REQUIRE(world.answer(caller) != nullptr);
+    CHECK(world.answer(caller)->kind == AnswerKind::GivenUp);
+    CHECK(world.answer(caller)->afterUs < 1800 * usPerMs);
+}
+
 } // namespace
 } // namespace clementinelift::command
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -284,6 +284,8 @@
                 deliver(to, PeerReceived{m_nodes[static_cast<std::size_t>(from)].name, message});
         }
     }
+    // Messages in this direction are lost.
+    void cutOneWay(int from, int to) { m_cutDirections.insert({from, to}); }
     void cutServer(int node, int server, bool cut) { setCut(m_cutServers, {node, server}, cut); }
     void setLostAnswers(double share, TimeUs delayUs)
     {
@@ -521,7 +523,7 @@
     {
         const int to = findNode(message.node);
         ++m_sentMessages[{index, to}];
-        if (to < 0 || !isUp(to))
+        if (to < 0 || !isUp(to) || m_cutDirections.count({index, to}) > 0)
             return;
         const int incarnation = m_nodes[static_cast<std::size_t>(to)].incarnation;
         after(m_settings.linkDelayUs, [this, index, to, incarnation, content = std::move(message.message)] {
@@ -796,6 +798,7 @@
     std::map<std::pair<int, int>, std::uint64_t> m_sentMessages; // by sender and receiver
     Pairs m_cutNodes;
     std::map<std::pair<int, int>, std::vector<PeerMessage>> m_heldMessages; // by sender and receiver
+    Pairs m_cutDirections;
     Pairs m_cutServers;
     double m_lostAnswerShare = 0;
     TimeUs m_lostAnswerDelayUs = 0;
