--- a/tests/unit/command/fleet_size_test.cpp
+++ b/tests/unit/command/fleet_size_test.cpp
@@ -49,8 +49,8 @@
         CHECK(world.wakeups(node) - before[static_cast<std::size_t>(node)] <= 25);
 }
 
-// Guards against orders to peers for nearly every task: with learned speeds that differ by a few percent, the fastest of
-// several hundred backend servers is hardly ever an own one.
+// Guards against orders to peers for nearly every task: with learned speeds that differ by a few percent, the fastest
+// of several hundred backend servers is hardly ever an own one.
 TEST_CASE("a slightly faster backend server of a peer is not chosen while an own one is free")
 {
     const Resources room{32000, 64000, 0};
