Start a job only as a whole while the link is slow

Change: while an order takes 2 ms or more to leave, a placing pass first chooses a backend server for each task of a job that has not begun, and starts none if one is missing.

--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -241,7 +241,7 @@
     void collectCandidates();
     Resources smallestWaitingTask() const;
     void placeJob(Job &job, bool othersWait);
-    void placeTask(Job &job, std::uint32_t index, const Candidate &candidate);
+    void placeTask(Job &job, std::uint32_t index, const Candidate &candidate, TimeUs startUs);
     void flushOrders(Job &job);
     void setWaiting(Job &job, std::uint32_t index);
     void setInQueue(Job &job, bool isWaiting);
--- a/packages/command/fleet_placing.cpp
+++ b/packages/command/fleet_placing.cpp
@@ -121,18 +121,40 @@
     refuseHopelessJobs(); // after placing, so that free capacity is used independently of the estimates
 }
 
+// With a slow link, a job that has not begun is started only as a whole: a job that is given up later because its last
+// orders have not left has used the link for nothing.
 void FleetDispatcher::placeJob(Job &job, bool othersWait)
 {
+    const bool onlyWhole = m_commander.startDelay().isSlowLink() && job.placed == 0 && !job.mayHaveRun;
+    std::vector<Candidate> candidatesBefore;
+    if (onlyWhole)
+        candidatesBefore = m_candidates;
+    const LinkLoad linkBefore = m_link;
+    struct Placed
+    {
+        std::uint32_t index;
+        std::size_t candidate;
+        TimeUs startUs;
+    };
+    std::vector<Placed> placed;
     for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
         if (job.tasks[index].state != TaskState::Waiting)
             continue;
         const TimeUs longestUs = runTimeLimit(job, m_now, othersWait);
-        const auto place = choosePlace(m_candidates, m_link, {job.service, job.taskResources, job.workUs, longestUs});
+        const auto place =
+                choosePlace(m_candidates, m_link, {job.service, job.taskResources, job.workUs, longestUs});
         if (!place)
             break;
-        placeTask(job, index, m_candidates[*place]);
+        placed.push_back({index, *place, expectStart(m_candidates[*place], m_link)});
         addTask(m_candidates, *place, job.taskResources, m_link);
     }
+    if (onlyWhole && placed.size() < job.waiting) {
+        m_candidates = std::move(candidatesBefore);
+        m_link = linkBefore;
+        return;
+    }
+    for (const Placed &place : placed)
+        placeTask(job, place.index, m_candidates[place.candidate], place.startUs);
     flushOrders(job);
     for (Candidate &candidate : m_candidates)
         candidate.hasOrder = false;
@@ -140,7 +162,7 @@
         setInQueue(job, false);
 }
 
-void FleetDispatcher::placeTask(Job &job, std::uint32_t index, const Candidate &candidate)
+void FleetDispatcher::placeTask(Job &job, std::uint32_t index, const Candidate &candidate, TimeUs startUs)
 {
     Task &task = job.tasks[index];
     task.state = TaskState::Placed;
@@ -150,7 +172,7 @@
     task.node = candidate.node;
     task.speed = candidate.speed;
     task.placedAt = m_now;
-    task.startUs = expectStart(candidate, m_link);
+    task.startUs = startUs;
     task.stopping = false;
     --job.waiting;
     ++job.placed;
