Report with heartbeats only over a slow link, and start urgent jobs first

Cause: commanders report changed capacities to each other every 20 to 60 ms while tasks wait. To 14 commanders these are about 100 of the 250 KB a second of a link of 2 Mbit/s, beside the orders. And with a wait of up to 75 ms at the link, the order in which jobs start is that of the orders, not of their urgency.

The played links carry the capacities of reports now as well.

--- a/packages/command/fleet_peers.cpp
+++ b/packages/command/fleet_peers.cpp
@@ -260,7 +260,9 @@
     const bool wants = m_now - m_waitedAt < wantDurationUs;
     if (wants && !peer.reportedWant && peer.coordinates)
         return true;
-    if (!peer.coordinates || peer.reportedVersion >= m_reportVersion)
+    // On a slow link, capacities are reported with heartbeats only: at the intervals below, reports to 14 commanders
+    // would take more than a third of a link of 2 Mbit/s.
+    if (!peer.coordinates || peer.reportedVersion >= m_reportVersion || m_commander.startDelay().isSlowLink())
         return false;
     if (isOwnZone)
         return sinceReport >= (peer.wantsCapacity ? reportIntervalUs : calmReportIntervalUs);
--- a/packages/command/fleet_placing.cpp
+++ b/packages/command/fleet_placing.cpp
@@ -20,6 +20,9 @@
 // Longest time that a run may continue after its stop was requested: its lease, and the time to detect the loss of the
 // backend server or the peer.
 constexpr TimeUs stoppedRunLimitUs = 2500 * usPerMs;
+// While orders wait longer at a slow link, no further job is started: jobs that wait here start in the order of their
+// urgency, orders at the link do not.
+constexpr TimeUs maxJobWaitUs = 20 * usPerMs;
 constexpr RunNumber oldRunStep = 16; // skips run numbers that an earlier submission may have used
 
 } // namespace
@@ -127,6 +130,8 @@
 {
     const bool onlyWhole = m_commander.startDelay().isSlowLink() && job.placed == 0 && !job.mayHaveRun;
     std::vector<Candidate> candidatesBefore;
+    if (onlyWhole && m_link.queuedUs > maxJobWaitUs)
+        return;
     if (onlyWhole)
         candidatesBefore = m_candidates;
     const LinkLoad linkBefore = m_link;
@@ -141,8 +146,7 @@
         if (job.tasks[index].state != TaskState::Waiting)
             continue;
         const TimeUs longestUs = runTimeLimit(job, m_now, othersWait);
-        const auto place =
-                choosePlace(m_candidates, m_link, {job.service, job.taskResources, job.workUs, longestUs});
+        const auto place = choosePlace(m_candidates, m_link, {job.service, job.taskResources, job.workUs, longestUs});
         if (!place)
             break;
         placed.push_back({index, *place, expectStart(m_candidates[*place], m_link)});
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -538,6 +538,8 @@
             return envelopeBytes + order->spec.size();
         if (const auto *request = std::get_if<ForwardRequest>(&message))
             return envelopeBytes + (request->request.job ? request->request.job->spec.size() : 0);
+        if (const auto *report = std::get_if<CapacityReport>(&message))
+            return envelopeBytes + 35 * report->capacities.size();
         return envelopeBytes;
     }
     template <typename Order> static std::size_t sizeOf(const Order &order)
