--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -225,8 +225,11 @@
     m_nextTick = m_now + idleTickUs;
     m_commander.tick(m_now, *m_actions, m_ended);
     markPeersInUse();
-    for (auto &[node, peer] : m_peers)
+    for (auto &[node, peer] : m_peers) {
         checkPeer(node, peer);
+        if (peer.connected)
+            relayConfiguration(node, peer);
+    }
     elect();
     flushQueuedRequests();
     checkRunning();
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -254,7 +254,9 @@
     void checkRunning();
 
     // Peers
-    void relayConfiguration(const std::string &node, Peer &peer, std::int64_t version);
+    TimeUs relayTurn(std::string_view node) const;
+    void relayConfiguration(const std::string &node, Peer &peer);
+    void compareConfiguration(Peer &peer, std::int64_t version);
     void handleLossCount(const std::string &node, Peer &peer, std::uint32_t lossCount);
     void checkPeer(const std::string &node, Peer &peer);
     void markPeersInUse();
--- a/packages/command/fleet_peers.cpp
+++ b/packages/command/fleet_peers.cpp
@@ -2,6 +2,8 @@
 
 #include "command/text.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace clementinelift::command {
@@ -33,6 +35,10 @@
 
 // A peer reads a new configuration from the store within milliseconds unless the store is unavailable to it.
 constexpr TimeUs relayDelayUs = 400 * usPerMs;
+constexpr TimeUs relayTurns = 8;
+constexpr TimeUs relayTurnUs = 80 * usPerMs;
+constexpr TimeUs relayPerRouteUs = 500;          // of about 130 bytes on a link of 2 Mbit/s
+constexpr TimeUs relayRepeatUs = 2500 * usPerMs; // until the same peer is sent a further copy
 
 bool isSameCapacity(const CapacityReport::ServerCapacity &left, const CapacityReport::ServerCapacity &right)
 {
@@ -59,8 +65,6 @@
     peer.lost = false;
     peer.lastContactAt = m_now;
     peer.contactConfirmedAt = m_now;
-    if (m_routes.isKnown())
-        m_actions->push_back(SendPeer{event.node, RelayedConfiguration{m_routes.configuration()}});
 }
 
 void FleetDispatcher::on(PeerDisconnected &event)
@@ -120,19 +124,33 @@
         mark(coordinator);
 }
 
-void FleetDispatcher::relayConfiguration(const std::string &node, Peer &peer, std::int64_t version)
+// How long a peer must have reported an older version before this entry VM sends it the configuration. The peers of an
+// entry VM take turns, so that the first copy usually reaches it before the second one is sent: twenty copies of a
+// thousand routes would occupy a link of 2 Mbit/s for more than ten seconds.
+TimeUs FleetDispatcher::relayTurn(std::string_view node) const
 {
-    if (version >= m_routes.configuration().version) {
-        peer.outdatedSince = never;
-        return;
-    }
-    peer.outdatedSince = std::min(peer.outdatedSince, m_now);
-    if (m_now - peer.outdatedSince < relayDelayUs)
+    const std::string pair = concat(m_settings.node, "/", node);
+    const auto routes = static_cast<TimeUs>(m_routes.configuration().routes.size());
+    const auto turn = static_cast<TimeUs>(XXH3_64bits(pair.data(), pair.size()) % relayTurns);
+    return relayDelayUs + turn * (relayTurnUs + routes * relayPerRouteUs);
+}
+
+void FleetDispatcher::relayConfiguration(const std::string &node, Peer &peer)
+{
+    if (peer.outdatedSince == never || m_now - peer.outdatedSince < relayTurn(node))
         return;
-    peer.outdatedSince = m_now;
+    peer.outdatedSince = m_now + relayRepeatUs;
     m_actions->push_back(SendPeer{node, RelayedConfiguration{m_routes.configuration()}});
 }
 
+void FleetDispatcher::compareConfiguration(Peer &peer, std::int64_t version)
+{
+    if (version >= m_routes.configuration().version)
+        peer.outdatedSince = never;
+    else if (peer.outdatedSince == never)
+        peer.outdatedSince = m_now;
+}
+
 // A peer that has lost this entry VM, for example during a pause, may start the tasks of its runs here again, so these
 // runs are stopped.
 void FleetDispatcher::handleLossCount(const std::string &node, Peer &peer, std::uint32_t lossCount)
@@ -184,7 +202,7 @@
 void FleetDispatcher::onMessage(const std::string &node, Peer &peer, CapacityReport &message)
 {
     handleLossCount(node, peer, message.lossCount);
-    relayConfiguration(node, peer, message.configurationVersion);
+    compareConfiguration(peer, message.configurationVersion);
     peer.reportSentAt = message.sentAt;
     peer.coordinates = message.coordinates;
     peer.stopping = message.stopping;
@@ -220,10 +238,15 @@
 {
     const std::int64_t version = message.configuration.version;
     const std::int64_t before = m_routes.configuration().version;
-    if (m_routes.apply(std::move(message.configuration)))
+    if (m_routes.apply(std::move(message.configuration))) {
         logLine(false, "config", concat("configuration received from peer node=", node, " version=", version));
-    else if (version < before)
+        for (auto &[other, peer] : m_peers) { // the others need not send it
+            if (peer.connected)
+                sendReport(other, peer, false);
+        }
+    } else if (version < before) {
         m_actions->push_back(SendPeer{node, RelayedConfiguration{m_routes.configuration()}});
+    }
 }
 
 // Updates m_reported with the capacities that have changed since the last call.
--- a/tests/unit/command/fleet_size_test.cpp
+++ b/tests/unit/command/fleet_size_test.cpp
@@ -69,6 +69,26 @@
     CHECK(choose(usPerS) == "peer");
 }
 
+// Guards against links that are full of copies of the configuration, each of hundreds of KB: at a start, after a power
+// loss of everything, and at an entry VM that is slow to read a new one from the store.
+TEST_CASE("an entry VM is sent few copies of the configuration by its peers")
+{
+    FleetWorld world({.zones = {{"a", 12, 6, {500, 500, 500, 500, 500, 500, 90, 90, 90, 90, 90, 90}}}});
+    world.start();
+    world.runFor(3 * usPerS);
+    for (int node = 0; node < world.nodeCount(); ++node)
+        CHECK(world.relayedConfigurations(node) == 0); // all have read it from the store
+    Configuration newer = FleetWorld::configuration();
+    newer.version = 9;
+    for (int node = 1; node < world.nodeCount(); ++node)
+        world.deliver(node, ConfigurationRead{newer});
+    world.runFor(1500 * usPerMs);
+    CHECK(world.core(0).routes().configuration().version == 9);
+    CHECK(world.relayedConfigurations(0) <= 3);
+    world.runFor(5 * usPerS);
+    CHECK(world.relayedConfigurations(0) <= 3);
+}
+
 // Messages within a second.
 std::uint64_t countMessages(FleetWorld &world, int from, int to)
 {
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -365,6 +365,11 @@
     // Observations of the test oracle
     const std::vector<std::string> &violations() const { return m_violations; }
     std::uint64_t starts() const { return m_starts; }
+    int relayedConfigurations(int to) const
+    {
+        const auto found = m_relayedConfigurations.find(to);
+        return found == m_relayedConfigurations.end() ? 0 : found->second;
+    }
     std::uint64_t sentMessages(int from, int to) const
     {
         const auto found = m_sentMessages.find({from, to});
@@ -553,6 +558,7 @@
     {
         const int to = findNode(message.node);
         ++m_sentMessages[{index, to}];
+        m_relayedConfigurations[to] += std::holds_alternative<RelayedConfiguration>(message.message) ? 1 : 0;
         if (to < 0 || !isUp(to) || m_cutDirections.count({index, to}) > 0)
             return;
         const int incarnation = m_nodes[static_cast<std::size_t>(to)].incarnation;
@@ -828,6 +834,7 @@
     std::map<std::string, std::uint64_t> m_startsOfJob;
     std::map<int, std::uint64_t> m_startsOn;
     std::map<std::pair<int, int>, std::uint64_t> m_sentMessages; // by sender and receiver
+    std::map<int, int> m_relayedConfigurations;                  // by receiver
     Pairs m_cutNodes;
     std::map<std::pair<int, int>, std::vector<PeerMessage>> m_heldMessages; // by sender and receiver
     Pairs m_cutDirections;
