Log a slow link, and bound the reported wait of starts

An operator who looks for the reason of a refused job could not see that the link was the bound; a line says so when it changes. The wait that a peer reports is bounded while it is decoded: sums of many waits must not overflow.

--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "command/text.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace clementinelift::command {
 
@@ -207,7 +208,13 @@
 void FleetDispatcher::on(StartResult &event)
 {
     m_commander.onStartResult(m_now, event, *m_actions, m_ended);
-    m_dispatchNeeded = m_dispatchNeeded || m_commander.startDelay().isSlowLink(); // tasks may wait for the link
+    const bool isSlowLink = m_commander.startDelay().isSlowLink();
+    m_dispatchNeeded = m_dispatchNeeded || isSlowLink; // tasks may wait for the link
+    if (std::exchange(m_wasSlowLink, isSlowLink) != isSlowLink)
+        logLine(isSlowLink, "link",
+                concat(isSlowLink ? "starts wait for the network link" : "starts no longer wait for the network link",
+                       " us_per_start=", m_commander.startDelay().perOrderUs(),
+                       " queued_us=", m_commander.startDelay().queuedUs()));
 }
 
 void FleetDispatcher::on(StopResult &event)
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -278,6 +278,7 @@
     std::set<std::pair<TimeUs, std::string>> m_waiting;   // jobs with waiting tasks, by order of service
     std::map<std::string, Peer, std::less<>> m_peers;
     std::map<TaskId, EndingRun> m_endingRuns;
+    bool m_wasSlowLink = false;
     LinkLoad m_link;                                               // of one placing pass
     std::vector<Candidate> m_candidates;                           // of one dispatch()
     std::size_t m_knownCapacityCount = 0;                          // of one dispatch(), with and without room
--- a/packages/net/fleet_codec.cpp
+++ b/packages/net/fleet_codec.cpp
@@ -2,6 +2,8 @@
 
 #include "net/bounded_json.h"
 
+#include <algorithm>
+
 namespace clementinelift::net {
 
 namespace {
@@ -11,6 +13,7 @@
 using command::PlaceTasks;
 
 constexpr ParseLimits frameLimits{8, 200000};
+constexpr command::TimeUs maxReportedWaitUs = 10 * command::usPerS; // sums of many waits must not overflow
 
 // A message is an array: its type, then its fields in the order of the struct. Leaving out field names keeps
 // the frames small, because traffic between availability zones is charged by the byte.
@@ -229,8 +232,8 @@
     if (fields.hasMore()) // earlier versions do not send it
         message.wantsCapacity = fields.flag();
     if (fields.hasMore()) {
-        message.startQueueUs = fields.number<command::TimeUs>();
-        message.perStartUs = fields.number<command::TimeUs>();
+        message.startQueueUs = std::clamp<command::TimeUs>(fields.number<command::TimeUs>(), 0, maxReportedWaitUs);
+        message.perStartUs = std::clamp<command::TimeUs>(fields.number<command::TimeUs>(), 0, maxReportedWaitUs);
     }
     return fields.isValid();
 }
