--- a/packages/command/events.h
+++ b/packages/command/events.h
@@ -408,7 +408,7 @@
 struct LogLine
 {
     bool warning = false;
-    std::string_view part; // static text: "jobs", "servers", "peers", "config", "store" or "process"
+    std::string_view part; // static text: "jobs", "servers", "peers", "config", "store", "link" or "process"
     std::string text;      // a short sentence, then key=value fields
 };
 
