--- a/tests/unit/command/fleet_size_test.cpp
+++ b/tests/unit/command/fleet_size_test.cpp
@@ -42,6 +42,7 @@
     world.start();
     world.runFor(usPerS);
     std::vector<std::uint64_t> before;
+    before.reserve(static_cast<std::size_t>(world.nodeCount()));
     for (int node = 0; node < world.nodeCount(); ++node)
         before.push_back(world.wakeups(node));
     world.runFor(usPerS);
