--- a/bench/placing_bench.cpp
+++ b/bench/placing_bench.cpp
@@ -29,7 +29,7 @@
     {
         Configuration configuration;
         configuration.version = 1;
-        // Nothing is late within the measured time, so that waiting jobs stay.
+        // With this target no job is late during the run, so none that waits is refused.
         configuration.routes.push_back({"r", "shop.example", "/q/", "svc", 0, 2, 1.6, 1000 * usPerS, 1000 * usPerS});
         configuration.services.push_back({"svc", true});
         apply(ConfigurationRead{configuration});
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -11,12 +11,12 @@
 //
 // Contents
 //   Settings
-//   SimServer    one backend server: leases, fencing and ends of runs, as documented for the platform
-//   FleetWorld
+//   FleetWorld   of entry VMs and backend servers (sim_server.h)
 #pragma once
 
 #include "command/fleet_dispatcher.h"
 #include "command/wakeup.h"
+#include "unit/command/sim_server.h"
 
 #include <cstdio>
 #include <functional>
@@ -80,56 +80,6 @@
     return all;
 }
 
-// SimServer -----------------------------------------------------------------------------------------
-
-struct SimServer
-{
-    struct Run
-    {
-        RunNumber number = 0;
-        Resources resources;
-        TimeUs endAt = 0;
-        std::uint64_t serial = 0; // distinguishes runs of one task
-    };
-    struct Hold
-    {
-        int node = 0;
-        SendHold order;
-        TimeUs sentAt = 0;
-        TimeUs until = 0;
-        std::function<void(Event)> reply;
-    };
-
-    ServerEntry entry;
-    double speed = 1.0;
-    double clockRate = 1.0; // 0.98 .. 1
-    TimeUs startedAt = 0;
-    bool up = true;
-    bool unresponsive = false; // sends no answers, but its runs continue
-    bool failing = false;      // every run fails after 2 ms
-    bool hanging = false;      // runs never end
-    bool listed = true;
-    FencingToken token = 0;
-    std::int64_t leaseEndMs = 0;
-    std::int64_t lastEnd = 0;
-    std::map<TaskId, Run> runs;
-    std::map<TaskId, RunNumber> refusedThrough;
-    std::vector<EndedRun> ended;
-    std::vector<Hold> holds;
-
-    std::int64_t clockMs(TimeUs now) const
-    {
-        return 1000 + static_cast<std::int64_t>(static_cast<double>(now - startedAt) * clockRate) / usPerMs;
-    }
-    Resources used() const
-    {
-        Resources sum;
-        for (const auto &[task, run] : runs)
-            sum += run.resources;
-        return sum;
-    }
-};
-
 // FleetWorld ----------------------------------------------------------------------------------------
 
 class FleetWorld
