Log how the end of a lost run became known

A run that ended as lost with dead_after_ms=0 looked the same whether its backend server had restarted, another instance answered at the address, or the lists named neither the run nor its end; and nothing was logged when a caller disconnected whose request had no job yet. Each has a line now, so that the hypotheses on two runs of one task can be told apart.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -82,6 +82,7 @@
         server.incarnationStartMs = entry.incarnationStartMs;
     ++m_capacityVersion;
     if (isNewIncarnation || isMoved) {
+        logRestart(server, entry.incarnationStartMs, actions);
         abandonRuns(now, server, now, ended);
         server.incarnationStartMs = entry.incarnationStartMs;
         server.acknowledgedEnd = 0;
@@ -318,9 +319,17 @@
     }
 }
 
+void Commander::logRestart(const Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions)
+{
+    actions.push_back(
+            LogLine{false, "servers",
+                    concat("backend server has restarted server=", server.entry.id, " runs=", server.runs.size(),
+                           " born_ms=", incarnationStartMs, " earlier_born_ms=", server.incarnationStartMs)});
+}
+
 // True unless the answer came from an earlier incarnation. A new incarnation ends the runs of the one before.
 bool Commander::acceptIncarnation(Server &server, TimeUs now, std::int64_t incarnationStartMs,
-                                  std::vector<RunEndNotice> &ended)
+                                  std::vector<Action> &actions, std::vector<RunEndNotice> &ended)
 {
     if (incarnationStartMs == 0 || incarnationStartMs == server.incarnationStartMs)
         return true;
@@ -330,6 +339,7 @@
     }
     if (incarnationStartMs < server.incarnationStartMs)
         return false; // a delayed answer of an earlier incarnation
+    logRestart(server, incarnationStartMs, actions);
     server.incarnationStartMs = incarnationStartMs;
     server.acknowledgedEnd = 0;
     server.clockAt = 0;
@@ -381,8 +391,13 @@
         if (!isListed && run.acceptedAt < sentAt)
             vanished.push_back(task);
     }
-    for (const TaskId &task : vanished)
+    for (const TaskId &task : vanished) {
+        actions.push_back(
+                LogLine{true, "servers",
+                        concat("backend server lists neither the run nor its end server=", server.entry.id,
+                               " job=", task.job, " task=", task.index, " run=", m_runs.find(task)->second.number)});
         endRun(now, task, RunEnd::Lost, 0, ended);
+    }
 
     if (server.stage == Stage::Claiming || server.stage == Stage::Suspect) {
         std::erase_if(server.unconfirmedStarts, [&](const UnconfirmedStart &start) { return now >= start.until; });
@@ -420,7 +435,7 @@
     switch (event.outcome) {
     case OrderOutcome::Accepted:
         server.missingAnswers = 0;
-        if (!acceptIncarnation(server, now, event.incarnationStartMs, ended)) {
+        if (!acceptIncarnation(server, now, event.incarnationStartMs, actions, ended)) {
             server.nextProbeAt = now + minProbeIntervalUs;
             return;
         }
@@ -432,7 +447,7 @@
         onFenced(now, server, actions, ended);
         return;
     case OrderOutcome::OtherInstance:
-        onOtherInstance(now, server, ended);
+        onOtherInstance(now, server, actions, ended);
         return;
     case OrderOutcome::Unhealthy:
         server.blockedUntil = std::max(server.blockedUntil, now + unhealthyBlockUs);
@@ -462,8 +477,14 @@
 }
 
 // Another incarnation answers at this address; the runs of the earlier incarnation have ended.
-void Commander::onOtherInstance(TimeUs now, Server &server, std::vector<RunEndNotice> &ended)
+void Commander::onOtherInstance(TimeUs now, Server &server, std::vector<Action> &actions,
+                                std::vector<RunEndNotice> &ended)
 {
+    if (server.stage != Stage::Suspect)
+        actions.push_back(
+                LogLine{true, "servers",
+                        concat("another instance answers at the address of the backend server server=", server.entry.id,
+                               " address=", server.entry.address, " runs=", server.runs.size())});
     abandonRuns(now, server, now, ended);
     server.stage = Stage::Suspect;
     server.nextProbeAt = now + maxProbeIntervalUs;
@@ -527,7 +548,7 @@
         onFenced(now, server, actions, ended);
         return;
     case OrderOutcome::OtherInstance:
-        onOtherInstance(now, server, ended);
+        onOtherInstance(now, server, actions, ended);
         return;
     case OrderOutcome::Unhealthy:
         server.blockedUntil = std::max(server.blockedUntil, now + unhealthyBlockUs);
--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -170,13 +170,14 @@
     void readClock(Server &server, const ClockReading &reading);
     std::int64_t clockNow(const Server &server, TimeUs now) const;
     void onMissingAnswer(TimeUs now, Server &server, std::vector<Action> &actions, std::vector<RunEndNotice> &ended);
-    void onOtherInstance(TimeUs now, Server &server, std::vector<RunEndNotice> &ended);
+    void onOtherInstance(TimeUs now, Server &server, std::vector<Action> &actions, std::vector<RunEndNotice> &ended);
     void onFenced(TimeUs now, Server &server, std::vector<Action> &actions, std::vector<RunEndNotice> &ended);
     void applyRunLists(TimeUs now, Server &server, const HoldResult &event, TimeUs sentAt, std::vector<Action> &actions,
                        std::vector<RunEndNotice> &ended);
     bool canStart(const Server &server, TimeUs now) const;
     bool mayRenew(const Server &server, TimeUs now) const;
-    bool acceptIncarnation(Server &server, TimeUs now, std::int64_t incarnationStartMs,
+    static void logRestart(const Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions);
+    bool acceptIncarnation(Server &server, TimeUs now, std::int64_t incarnationStartMs, std::vector<Action> &actions,
                            std::vector<RunEndNotice> &ended);
 
     CommanderSettings m_settings;
--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -441,8 +441,11 @@
     }
     std::erase_if(m_queuedRequests, [&](const QueuedRequest &queued) { return queued.request.caller == event.caller; });
     const auto found = m_callers.find(event.caller);
-    if (found == m_callers.end())
+    if (found == m_callers.end()) {
+        logLine(false, "jobs",
+                concat("caller without a job disconnected caller=", static_cast<std::uint64_t>(event.caller)));
         return;
+    }
     ++m_counters.callersGone;
     const auto job = m_jobs.find(found->second);
     m_callers.erase(found);
