Keep the runs that a restarted backend server has accepted

Cause: a backend server may restart under its id. The commander learned of it from the registry entry or from the next list of runs, up to 400 ms after its first start there, and then ended every run that it knew on the server, also one that the new incarnation had accepted. The coordinator started the task elsewhere at once, while the first run lived until it was stopped as unknown. The assumption behind it: a run known here belongs to the incarnation known here.

Change: a new incarnation resets what belongs to the earlier one (numbers of ends, clock). Runs are ended by the lists only: a run that was accepted before the lists were requested and is not in them has ended. A restarted backend server that does not answer is treated as any other: its runs are given up when their leases have ended.

The simulated backend servers restart with an entry that arrives later; links can be cut in one direction, reset, or lose power.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -82,12 +82,7 @@
         server.incarnationStartMs = entry.incarnationStartMs;
     ++m_capacityVersion;
     if (isNewIncarnation || isMoved) {
-        logRestart(server, entry.incarnationStartMs, actions);
-        abandonRuns(now, server, now, ended);
-        server.incarnationStartMs = entry.incarnationStartMs;
-        server.acknowledgedEnd = 0;
-        server.sentAcknowledgedEnd = 0;
-        server.clockAt = 0;
+        beginIncarnation(server, entry.incarnationStartMs, actions);
         server.missingAnswers = 0;
         server.failures = 0;
         server.blockedUntil = 0;
@@ -319,17 +314,22 @@
     }
 }
 
-void Commander::logRestart(const Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions)
+// The runs of the earlier incarnation have ended, but the new one may already have accepted starts, because its entry
+// and its lists arrive later. No run is ended here: the next lists tell which runs exist.
+void Commander::beginIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions)
 {
     actions.push_back(
             LogLine{false, "servers",
                     concat("backend server has restarted server=", server.entry.id, " runs=", server.runs.size(),
                            " born_ms=", incarnationStartMs, " earlier_born_ms=", server.incarnationStartMs)});
+    server.incarnationStartMs = incarnationStartMs;
+    server.acknowledgedEnd = 0;
+    server.sentAcknowledgedEnd = 0;
+    server.clockAt = 0;
 }
 
-// True unless the answer came from an earlier incarnation. A new incarnation ends the runs of the one before.
-bool Commander::acceptIncarnation(Server &server, TimeUs now, std::int64_t incarnationStartMs,
-                                  std::vector<Action> &actions, std::vector<RunEndNotice> &ended)
+// True unless the answer came from an earlier incarnation.
+bool Commander::acceptIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions)
 {
     if (incarnationStartMs == 0 || incarnationStartMs == server.incarnationStartMs)
         return true;
@@ -339,11 +339,7 @@
     }
     if (incarnationStartMs < server.incarnationStartMs)
         return false; // a delayed answer of an earlier incarnation
-    logRestart(server, incarnationStartMs, actions);
-    server.incarnationStartMs = incarnationStartMs;
-    server.acknowledgedEnd = 0;
-    server.clockAt = 0;
-    abandonRuns(now, server, now, ended);
+    beginIncarnation(server, incarnationStartMs, actions);
     return true;
 }
 
@@ -435,7 +431,7 @@
     switch (event.outcome) {
     case OrderOutcome::Accepted:
         server.missingAnswers = 0;
-        if (!acceptIncarnation(server, now, event.incarnationStartMs, actions, ended)) {
+        if (!acceptIncarnation(server, event.incarnationStartMs, actions)) {
             server.nextProbeAt = now + minProbeIntervalUs;
             return;
         }
@@ -496,12 +492,14 @@
                                 std::vector<RunEndNotice> &ended)
 {
     ++server.missingAnswers;
-    if (server.stage == Stage::Usable && server.missingAnswers < 2) {
+    // A claimed backend server has runs when it has restarted: they may be of its new incarnation.
+    const bool mayHaveRuns = server.stage == Stage::Usable || (server.stage == Stage::Claiming && !server.runs.empty());
+    if (mayHaveRuns && server.missingAnswers < 2) {
         if (server.holdSequence == 0)
-            sendHold(now, server, !server.runs.empty(), 0, actions);
+            sendHold(now, server, server.stage == Stage::Usable && !server.runs.empty(), 0, actions);
         return;
     }
-    if (server.stage == Stage::Usable) {
+    if (mayHaveRuns) {
         actions.push_back(LogLine{true, "servers",
                                   concat("backend server does not answer server=", server.entry.id, " runs=",
                                          server.runs.size(), " leases_end_ms=", (server.leasesEndBy - now) / usPerMs)});
--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -176,9 +176,8 @@
                        std::vector<RunEndNotice> &ended);
     bool canStart(const Server &server, TimeUs now) const;
     bool mayRenew(const Server &server, TimeUs now) const;
-    static void logRestart(const Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions);
-    bool acceptIncarnation(Server &server, TimeUs now, std::int64_t incarnationStartMs, std::vector<Action> &actions,
-                           std::vector<RunEndNotice> &ended);
+    static void beginIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions);
+    static bool acceptIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions);
 
     CommanderSettings m_settings;
     std::vector<Server> m_servers;
--- a/tests/unit/command/fleet_dispatcher_test.cpp
+++ b/tests/unit/command/fleet_dispatcher_test.cpp
@@ -230,6 +230,49 @@
     CHECK(world.startsOn(0) == 0);
 }
 
+// Guards against two runs of a task on a backend server that restarted without notice: its first answer ended its runs.
+TEST_CASE("a run that a restarted backend server has accepted is not started again")
+{
+    const TimeUs entryDelayUs = GENERATE(100, 2000) * usPerMs; // before and after the first list of runs
+    FleetWorld world({.zones = {{"a", 1, 2}}, .speeds = {2.0, 1.0}});
+    world.start();
+    std::vector<CallerId> callers;
+    submitLoad(world, usPerS, 50 * usPerMs, callers, {.tasks = 4, .workUs = 20 * usPerMs}); // learns the speeds
+    world.runFor(usPerS);
+    world.crash(1);
+    world.runFor(20 * usPerMs);
+    world.reboot(1, entryDelayUs);
+    // Occupies the faster backend server for 300 ms, so that the job starts on the restarted one.
+    submitLoad(world, usPerMs, usPerMs, callers, {.tasks = 2, .workUs = 600 * usPerMs, .path = "/l/"});
+    const WorldJob job{.id = makeJobId(1), .workUs = 900 * usPerMs, .path = "/l/"};
+    const CallerId caller = world.submit(0, job);
+    world.runFor(3 * usPerS);
+    CHECK(world.startsOf(job.id) == 1);
+    CHECK(join(world.violations()).empty());
+    REQUIRE(world.answer(caller) != nullptr);
+    CHECK(world.answer(caller)->kind == Kind::Completed);
+}
+
+// Guards against jobs that wait for a run on a backend server that has restarted and cannot be asked for it.
+TEST_CASE("the runs of a restarted backend server that does not answer are given up when their leases have ended")
+{
+    FleetWorld world({.zones = {{"a", 1, 2}}});
+    world.start();
+    const WorldJob job{.id = makeJobId(1), .workUs = 900 * usPerMs, .path = "/l/"};
+    const CallerId caller = world.submit(0, job);
+    world.runFor(50 * usPerMs);
+    const int server = world.startsOn(0) > 0 ? 0 : 1;
+    world.cutServer(0, server, true);
+    world.crash(server);
+    world.runFor(usPerMs);
+    world.reboot(server);
+    world.runFor(3 * usPerS);
+    CHECK(join(world.violations()).empty());
+    CHECK(world.startsOn(1 - server) == 1);
+    REQUIRE(world.answer(caller) != nullptr);
+    CHECK(world.answer(caller)->kind == Kind::Completed);
+}
+
 TEST_CASE("a draining backend server gets no new tasks")
 {
     FleetWorld world({.zones = {{"a", 2, 2}}});
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -176,8 +176,12 @@
         return found == m_answers.end() ? nullptr : &found->second;
     }
 
+    // Called with each answer, for callers that react to it.
+    void onAnswer(std::function<void(CallerId, const Answered &)> handler) { m_answerHandler = std::move(handler); }
+
     // Faults
-    void kill(int index)
+    // Without power an entry VM disappears silently: its peers get no end of their links.
+    void powerOff(int index)
     {
         Node &node = m_nodes[static_cast<std::size_t>(index)];
         node.core.reset();
@@ -187,10 +191,14 @@
         ++node.incarnation;
         std::erase_if(m_heldMessages,
                       [&](const auto &held) { return held.first.first == index || held.first.second == index; });
-        for (int other = 0; other < nodeCount(); ++other)
-            deliver(other, PeerDisconnected{node.name});
         after(1300 * usPerMs, [this, zone = node.zone] { assignShards(zone); });
     }
+    void kill(int index)
+    {
+        powerOff(index);
+        for (int other = 0; other < nodeCount(); ++other)
+            deliver(other, PeerDisconnected{m_nodes[static_cast<std::size_t>(index)].name});
+    }
     void boot(int index)
     {
         Node &node = m_nodes[static_cast<std::size_t>(index)];
@@ -238,7 +246,36 @@
     }
     // Messages in this direction are lost.
     void cutOneWay(int from, int to) { m_cutDirections.insert({from, to}); }
+    // Messages in this direction arrive when the cut ends.
+    void holdOneWay(int from, int to, bool hold)
+    {
+        setCut(m_heldDirections, {from, to}, hold);
+        if (hold)
+            return;
+        const std::vector<PeerMessage> held = std::move(m_heldMessages[{from, to}]);
+        m_heldMessages[{from, to}].clear();
+        for (const PeerMessage &message : held)
+            deliver(to, PeerReceived{m_nodes[static_cast<std::size_t>(from)].name, message});
+    }
+    // Ends both sides of a link, which is opened again after the duration.
+    void resetLink(int left, int right, TimeUs duration)
+    {
+        m_heldMessages[{left, right}].clear();
+        m_heldMessages[{right, left}].clear();
+        ++m_linkGenerations[{std::min(left, right), std::max(left, right)}];
+        for (const auto &[one, other] : {std::pair(left, right), std::pair(right, left)})
+            deliver(one, PeerDisconnected{m_nodes[static_cast<std::size_t>(other)].name});
+        after(duration, [this, left, right] {
+            for (const auto &[one, other] : {std::pair(left, right), std::pair(right, left)}) {
+                const Node &peer = m_nodes[static_cast<std::size_t>(other)];
+                if (isUp(left) && isUp(right))
+                    deliver(one, PeerConnected{peer.name, peer.zone});
+            }
+        });
+    }
     void cutServer(int node, int server, bool cut) { setCut(m_cutServers, {node, server}, cut); }
+    // Orders arrive and are carried out, but their answers are lost.
+    void cutAnswers(int node, int server, bool cut) { setCut(m_cutAnswers, {node, server}, cut); }
     void setLostAnswers(double share, TimeUs delayUs)
     {
         m_lostAnswerShare = share;
@@ -252,8 +289,8 @@
         server.ended.clear();
         server.holds.clear();
     }
-    // Restarts the backend server without its earlier state.
-    void reboot(int index)
+    // Restarts the backend server without its earlier state. Entry VMs read its new entry after entryDelayUs.
+    void reboot(int index, TimeUs entryDelayUs = 0)
     {
         SimServer &server = m_servers[static_cast<std::size_t>(index)];
         server.up = true;
@@ -263,8 +300,11 @@
         server.leaseEndMs = 0;
         server.lastEnd = 0;
         server.refusedThrough.clear();
-        for (int node = 0; node < nodeCount(); ++node)
-            deliver(node, ServerListed{server.entry});
+        after(entryDelayUs, [this, index, startedAt = m_now] {
+            const SimServer &listed = m_servers[static_cast<std::size_t>(index)];
+            for (int node = 0; node < nodeCount() && listed.startedAt == startedAt; ++node)
+                deliver(node, ServerListed{listed.entry});
+        });
     }
     // Assigns the shards of an availability zone again under a higher token, as the store does.
     void assignShards(const std::string &zone)
@@ -476,6 +516,8 @@
             m_violations.push_back("refused but started " + job);
         if (saysNotRun)
             m_refused.insert(job);
+        if (m_answerHandler)
+            m_answerHandler(answer.caller, m_answers[answer.caller]);
     }
     // Delay of bytes that leave an entry VM over its link, after those sent before.
     TimeUs transmit(int index, std::size_t bytes)
@@ -513,10 +555,12 @@
             return;
         const int incarnation = m_nodes[static_cast<std::size_t>(to)].incarnation;
         const TimeUs delayUs = m_settings.linkDelayUs + transmit(index, sizeOf(message.message));
-        after(delayUs, [this, index, to, incarnation, content = std::move(message.message)] {
-            if (m_nodes[static_cast<std::size_t>(to)].incarnation != incarnation)
+        const std::pair link(std::min(index, to), std::max(index, to));
+        after(delayUs, [=, this, generation = m_linkGenerations[link], content = std::move(message.message)] {
+            if (m_nodes[static_cast<std::size_t>(to)].incarnation != incarnation
+                || m_linkGenerations[link] != generation)
                 return;
-            if (m_cutNodes.count({std::min(index, to), std::max(index, to)}) > 0)
+            if (m_cutNodes.count(link) > 0 || m_heldDirections.count({index, to}) > 0)
                 m_heldMessages[{index, to}].push_back(content);
             else
                 deliver(to, PeerReceived{m_nodes[static_cast<std::size_t>(index)].name, content});
@@ -567,7 +611,8 @@
             if (!server.up || server.startedAt != startedAt || m_cutServers.count({index, target}) > 0)
                 return;
             carryOut(server, target, index, order, sentAt, [=, this](Event event) {
-                if (isLost || m_servers[static_cast<std::size_t>(target)].unresponsive)
+                if (isLost || m_servers[static_cast<std::size_t>(target)].unresponsive
+                    || m_cutAnswers.count({index, target}) > 0)
                     return;
                 after(m_settings.orderDelayUs, [this, index, incarnation, answered, event] {
                     if (*answered || m_nodes[static_cast<std::size_t>(index)].incarnation != incarnation)
@@ -788,10 +833,14 @@
     Pairs m_cutNodes;
     std::map<std::pair<int, int>, std::vector<PeerMessage>> m_heldMessages; // by sender and receiver
     Pairs m_cutDirections;
+    Pairs m_heldDirections;
+    std::map<std::pair<int, int>, int> m_linkGenerations; // increases when a link ends
     Pairs m_cutServers;
+    Pairs m_cutAnswers;
     double m_lostAnswerShare = 0;
     TimeUs m_lostAnswerDelayUs = 0;
     std::uint64_t m_starts = 0;
+    std::function<void(CallerId, const Answered &)> m_answerHandler;
     std::vector<std::string> m_violations;
 };
 
