Drop requests whose caller closed the connection before they were read

What callers would see: a second run of a task for up to 30 ms plus the time of a stop, when an entry VM is so late in reading a request that its caller has submitted the job again elsewhere, 1,300 ms after it closed the connection.

Cause: nothing is started for 100 ms after a pause, so that closed connections are found first; but requests that are read later than that, from a full backlog or on a slow VM, were started before the next look for closed connections.

Evidence: the new test of the HTTP server failed on the parent (the abandoned request reached the handler, 3 of 3 runs) and passes now (6 of 6).

Change: the HTTP server of the callers looks whether the client has closed the connection when a request has been read completely.

--- a/packages/dispatcher/fleet_daemon.cpp
+++ b/packages/dispatcher/fleet_daemon.cpp
@@ -139,21 +139,25 @@
 
 bool FleetDaemon::State::listen(std::string &error, std::uint16_t metricsPort)
 {
-    const auto open = [&](const std::string &address, net::HttpServer::Handler handler) {
-        auto server = net::HttpServer::start(makeServerSettings(address), std::move(handler));
+    const auto open = [&](const net::HttpServerSettings &serverSettings, net::HttpServer::Handler handler) {
+        auto server = net::HttpServer::start(serverSettings, std::move(handler));
         if (!server) {
             error = server.error();
             return std::unique_ptr<net::HttpServer>();
         }
         return *std::move(server);
     };
-    callers = open(settings.callerAddress,
+    // A caller that has left may have submitted its job again at another entry VM. After a pause, requests are read
+    // that are older than the time after which callers do so.
+    net::HttpServerSettings callerSettings = makeServerSettings(settings.callerAddress);
+    callerSettings.dropsAbandonedRequests = true;
+    callers = open(callerSettings,
                    [this](HttpCall call, net::HttpRequest &&request) { onCaller(call, std::move(request)); });
     if (callers != nullptr)
-        readiness = open(settings.readinessAddress,
+        readiness = open(makeServerSettings(settings.readinessAddress),
                          [this](HttpCall call, net::HttpRequest &&) { queue.push(ReadyCall{call}); });
     if (readiness != nullptr && metricsPort != 0)
-        metrics = open(settings.ip + ":" + std::to_string(metricsPort),
+        metrics = open(makeServerSettings(settings.ip + ":" + std::to_string(metricsPort)),
                        [this](HttpCall call, net::HttpRequest &&) { queue.push(MetricsCall{call}); });
     return readiness != nullptr && (metricsPort == 0 || metrics != nullptr);
 }
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -71,6 +71,13 @@
     return MHD_YES;
 }
 
+bool isClosedByClient(MHD_Connection *connection)
+{
+    const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    pollfd socket{info->connect_fd, POLLRDHUP, 0};
+    return poll(&socket, 1, 0) > 0;
+}
+
 HttpAnswer makeLimitAnswer(int status, std::string_view error, std::string_view place, std::size_t limit)
 {
     std::string body = R"({"error":")";
@@ -162,6 +169,8 @@
 {
     if (exchange.bodyBytes > settings.maxBodyBytes)
         return deliver(exchange.connection, makeLimitAnswer(413, "body_too_large", "body", settings.maxBodyBytes));
+    if (settings.dropsAbandonedRequests && isClosedByClient(exchange.connection))
+        return MHD_NO;
     exchange.passedToHandler = true;
     MHD_suspend_connection(exchange.connection);
     HttpCall call{};
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -36,6 +36,7 @@
     unsigned maxConnections = 4096;        // open at the same time, over all threads
     unsigned threads = 2;                  // I/O threads
     unsigned idleTimeoutS = 60;            // connections without a request in progress are closed
+    bool dropsAbandonedRequests = false;   // whose client has closed the connection before they were read
 };
 
 using HttpFields = std::vector<std::pair<std::string, std::string>>;
--- a/tests/unit/net/http_test.cpp
+++ b/tests/unit/net/http_test.cpp
@@ -146,6 +146,36 @@
     CHECK_FALSE((*server)->answer(call, {200, ""}));
 }
 
+// Guards against work for callers that have left, and may have turned to another server, before their request was read.
+TEST_CASE("a request whose client has closed the connection is dropped unread")
+{
+    std::promise<void> isClosed;
+    std::atomic<int> abandoned = 0;
+    HttpServer *raw = nullptr;
+    auto server = HttpServer::start({.threads = 1, .dropsAbandonedRequests = true},
+                                    [&](HttpCall call, HttpRequest &&request) {
+                                        if (request.path == "/first")
+                                            isClosed.get_future().wait(); // occupies the only thread of the server
+                                        abandoned += request.path == "/abandoned" ? 1 : 0;
+                                        raw->answer(call, {200, ""});
+                                    });
+    REQUIRE(server);
+    raw = server->get();
+    HttpClient client({});
+    std::promise<int> first;
+    client.send({.url = makeUrl(raw->port(), "/first")}, [&](HttpResult &&result) { first.set_value(result.status); });
+    while (raw->openCalls() == 0)
+        std::this_thread::yield();
+    const int socket = connectTo(raw->port());
+    const std::string_view request = "GET /abandoned HTTP/1.1\r\nHost: x\r\n\r\n";
+    REQUIRE(write(socket, request.data(), request.size()) == static_cast<ssize_t>(request.size()));
+    close(socket);
+    isClosed.set_value();
+    CHECK(first.get_future().get() == 200);
+    CHECK(exchange(client, {.url = makeUrl(raw->port(), "/last")}).status == 200);
+    CHECK(abandoned == 0);
+}
+
 // Guards against "not sent" for requests that may have had an effect, and "unknown" for requests that cannot
 // have had an effect.
 TEST_CASE("client tells certainly unsent requests from unknown outcomes")
--- a/tests/unit/net/servers.h
+++ b/tests/unit/net/servers.h
@@ -26,6 +26,19 @@
     return promise.get_future().get();
 }
 
+// A connected socket on the loopback address; the caller closes it.
+inline int connectTo(std::uint16_t port)
+{
+    const int client = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    [[maybe_unused]] const int connected = connect(client, reinterpret_cast<sockaddr *>(&address), sizeof address);
+    assert(connected == 0);
+    return client;
+}
+
 // Accepts connections one after the other and closes each of them instead of answering.
 class ClosingServer
 {
