Bound the backend servers that one task may crash

What callers see: a task that crashes its backend servers took one down about every second for as long as its caller waited, and one more with each submission; jobs whose tasks ran beside it were lost with it and started again beside the next one.

Cause: a run that is lost with its backend server counted as nothing, neither as an attempt nor as a crash, and nothing outlived the job.

Evidence: the new tests of the command core failed on the parent: 15 crashes in 15 s with a long timeout (20 in 20 s when the servers disappear silently), 16 in 8 submissions; now 2 (at most 5 where a crash shows only at the restart) and 2.

Change: a commander that sees a crash (connection refused, another instance, a restart) counts it for all tasks that ran there and reports the counts to its peers with the heartbeats. A task with a crash is started only on a backend server of its own, so that the second crash has one cause and costs no other task; then its job has failed, also when it is submitted again anywhere within a minute. A backend server that is only cut off does not count. The bound of the time until a lost run has ended stays: a refused connection is no proof that it has.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace clementinelift::command {
 
@@ -82,7 +83,7 @@
         server.incarnationStartMs = entry.incarnationStartMs;
     ++m_capacityVersion;
     if (isNewIncarnation || isMoved) {
-        beginIncarnation(server, entry.incarnationStartMs, actions);
+        beginIncarnation(server, entry.incarnationStartMs, actions, ended);
         server.missingAnswers = 0;
         server.failures = 0;
         server.blockedUntil = 0;
@@ -149,6 +150,7 @@
 void Commander::stopCommanding(TimeUs now, Server &server, std::vector<RunEndNotice> &ended)
 {
     abandonRuns(now, server, server.leasesEndBy, ended);
+    server.givenUpTasks.clear();
     server.stage = Stage::Foreign;
     server.handingOver = false;
     server.holdSequence = 0;
@@ -173,6 +175,20 @@
     server.used = {};
 }
 
+// As abandonRuns(), for a backend server that may have crashed.
+void Commander::giveUpRuns(TimeUs now, Server &server, TimeUs endsBy, std::vector<RunEndNotice> &ended)
+{
+    server.givenUpTasks.insert(server.givenUpTasks.end(), server.runs.begin(), server.runs.end());
+    abandonRuns(now, server, endsBy, ended);
+}
+
+void Commander::reportCrash(Server &server, std::vector<RunEndNotice> &ended)
+{
+    for (TaskId &task : server.givenUpTasks)
+        ended.push_back({{}, {std::move(task), 0, RunEnd::Lost, 0, server.entry.id}, true});
+    server.givenUpTasks.clear();
+}
+
 // Orders --------------------------------------------------------------------------------------------
 
 void Commander::readClock(Server &server, const ClockReading &reading)
@@ -316,7 +332,8 @@
 
 // The runs of the earlier incarnation have ended, but the new one may already have accepted starts, because its entry
 // and its lists arrive later. No run is ended here: the next lists tell which runs exist.
-void Commander::beginIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions)
+void Commander::beginIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions,
+                                 std::vector<RunEndNotice> &ended)
 {
     actions.push_back(
             LogLine{false, "servers",
@@ -326,10 +343,13 @@
     server.acknowledgedEnd = 0;
     server.sentAcknowledgedEnd = 0;
     server.clockAt = 0;
+    server.hasRestarted = true;
+    reportCrash(server, ended);
 }
 
 // True unless the answer came from an earlier incarnation.
-bool Commander::acceptIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions)
+bool Commander::acceptIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions,
+                                  std::vector<RunEndNotice> &ended)
 {
     if (incarnationStartMs == 0 || incarnationStartMs == server.incarnationStartMs)
         return true;
@@ -339,7 +359,7 @@
     }
     if (incarnationStartMs < server.incarnationStartMs)
         return false; // a delayed answer of an earlier incarnation
-    beginIncarnation(server, incarnationStartMs, actions);
+    beginIncarnation(server, incarnationStartMs, actions, ended);
     return true;
 }
 
@@ -394,6 +414,10 @@
                                " job=", task.job, " task=", task.index, " run=", m_runs.find(task)->second.number)});
         endRun(now, task, RunEnd::Lost, 0, ended);
     }
+    if (std::exchange(server.hasRestarted, false)) {
+        server.givenUpTasks = std::move(vanished);
+        reportCrash(server, ended);
+    }
 
     if (server.stage == Stage::Claiming || server.stage == Stage::Suspect) {
         std::erase_if(server.unconfirmedStarts, [&](const UnconfirmedStart &start) { return now >= start.until; });
@@ -427,14 +451,16 @@
     if (server.stage == Stage::Foreign || event.sequence != server.holdSequence)
         return;
     server.holdSequence = 0;
+    server.isRefusing = event.isRefused;
     const TimeUs sentAt = server.holdSentAt;
     switch (event.outcome) {
     case OrderOutcome::Accepted:
         server.missingAnswers = 0;
-        if (!acceptIncarnation(server, event.incarnationStartMs, actions)) {
+        if (!acceptIncarnation(server, event.incarnationStartMs, actions, ended)) {
             server.nextProbeAt = now + minProbeIntervalUs;
             return;
         }
+        server.givenUpTasks.clear(); // it has not crashed
         if (event.clock)
             readClock(server, *event.clock);
         applyRunLists(now, server, event, sentAt, actions, ended);
@@ -481,7 +507,8 @@
                 LogLine{true, "servers",
                         concat("another instance answers at the address of the backend server server=", server.entry.id,
                                " address=", server.entry.address, " runs=", server.runs.size())});
-    abandonRuns(now, server, now, ended);
+    giveUpRuns(now, server, now, ended);
+    reportCrash(server, ended);
     server.stage = Stage::Suspect;
     server.nextProbeAt = now + maxProbeIntervalUs;
     ++m_capacityVersion;
@@ -503,10 +530,12 @@
         actions.push_back(LogLine{true, "servers",
                                   concat("backend server does not answer server=", server.entry.id, " runs=",
                                          server.runs.size(), " leases_end_ms=", (server.leasesEndBy - now) / usPerMs)});
-        abandonRuns(now, server, server.leasesEndBy, ended);
+        giveUpRuns(now, server, server.leasesEndBy, ended);
         server.stage = Stage::Suspect;
         ++m_capacityVersion;
     }
+    if (server.isRefusing)
+        reportCrash(server, ended);
     if (server.holdSequence == 0)
         server.nextProbeAt =
                 now + std::min(minProbeIntervalUs << std::min(server.missingAnswers, 5U), maxProbeIntervalUs);
--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -37,6 +37,7 @@
 {
     std::string coordinator; // node, or selfNode
     TaskEnded ended;
+    bool isCrash = false; // the backend server has crashed under the run, whose end has been reported before
 };
 
 enum class Stage : std::uint8_t {
@@ -134,9 +135,12 @@
     {
         ServerEntry entry;
         std::vector<UnconfirmedStart> unconfirmedStarts;
+        std::vector<TaskId> givenUpTasks; // without an answer; whether it has crashed under them shows later
         Stage stage = Stage::Foreign;
         bool listed = false;
-        bool handingOver = false; // its shard is assigned to another entry VM
+        bool handingOver = false;  // its shard is assigned to another entry VM
+        bool isRefusing = false;   // refused the last connection: no process listens
+        bool hasRestarted = false; // since the last lists; runs that the next ones do not name have crashed with it
         FencingToken token = 0;
         FencingToken fencedToken = 0; // orders under this token were refused
         Resources used;
@@ -166,6 +170,8 @@
     void sendStop(TimeUs now, const Server &server, const TaskId &task, RunNumber run, std::vector<Action> &actions);
     void stopRun(TimeUs now, const TaskId &task, Run &run, std::vector<Action> &actions);
     void endRun(TimeUs now, const TaskId &task, RunEnd end, TimeUs maxRemainingUs, std::vector<RunEndNotice> &ended);
+    void giveUpRuns(TimeUs now, Server &server, TimeUs endsBy, std::vector<RunEndNotice> &ended);
+    static void reportCrash(Server &server, std::vector<RunEndNotice> &ended);
     void recordRunEnd(TimeUs now, Server &server, const Run &run, RunEnd end);
     void readClock(Server &server, const ClockReading &reading);
     std::int64_t clockNow(const Server &server, TimeUs now) const;
@@ -176,8 +182,10 @@
                        std::vector<RunEndNotice> &ended);
     bool canStart(const Server &server, TimeUs now) const;
     bool mayRenew(const Server &server, TimeUs now) const;
-    static void beginIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions);
-    static bool acceptIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions);
+    static void beginIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions,
+                                 std::vector<RunEndNotice> &ended);
+    static bool acceptIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions,
+                                  std::vector<RunEndNotice> &ended);
 
     CommanderSettings m_settings;
     std::vector<Server> m_servers;
--- /dev/null
+++ b/packages/command/crash_record.h
@@ -0,0 +1,55 @@
+// Tasks under which backend servers have crashed.
+//
+// Meant for tasks that crash each backend server that starts them. Nothing tells which of several tasks on a crashed
+// backend server was the cause, so the crash counts for all of them. A task with a crash is started again only on a
+// backend server of its own, so that a second crash has one possible cause and no other task is lost. As callers may
+// submit a job again at any entry VM, entry VMs report the counts to each other.
+#pragma once
+
+#include "command/types.h"
+
+#include <map>
+#include <span>
+#include <vector>
+
+namespace clementinelift::command {
+
+constexpr std::uint32_t maxCrashes = 2; // under one task, which is not started again after that
+
+struct CrashCount
+{
+    TaskId task;
+    std::uint32_t count = 0;
+};
+
+class CrashRecord
+{
+public:
+    // Counts one more crash under the task; returns the new count.
+    std::uint32_t add(TimeUs now, const TaskId &task);
+    // Applies the count of a peer; true when it is higher than the known one.
+    bool merge(TimeUs now, const CrashCount &reported);
+    // Forgets tasks without a crash for some time.
+    void expire(TimeUs now);
+
+    std::uint32_t count(const TaskId &task) const;
+    // Tasks of the job that have a count, in order of their index.
+    std::vector<CrashCount> ofJob(std::string_view job) const;
+    // Counts that have changed after the given version().
+    std::vector<CrashCount> changedSince(std::uint64_t version) const;
+    std::uint64_t version() const { return m_version; } // increases with each change
+
+private:
+    struct Entry
+    {
+        std::uint32_t count = 0;
+        std::uint64_t version = 0;
+        TimeUs expiresAt = 0;
+    };
+    void set(TimeUs now, const TaskId &task, std::uint32_t count);
+
+    std::map<TaskId, Entry> m_entries;
+    std::uint64_t m_version = 0;
+};
+
+} // namespace clementinelift::command
--- a/packages/command/events.h
+++ b/packages/command/events.h
@@ -8,6 +8,7 @@
 //   Event, Action
 #pragma once
 
+#include "command/crash_record.h"
 #include "command/types.h"
 
 #include <optional>
@@ -148,6 +149,7 @@
     OrderOutcome outcome = OrderOutcome::Unknown;
     std::optional<ClockReading> clock;
     std::int64_t incarnationStartMs = 0; // 0: unknown
+    bool isRefused = false;              // nothing listens at the address: the process has ended
     std::vector<RunningRun> running;
     std::vector<EndedRun> ended;
 };
@@ -305,9 +307,10 @@
     std::uint32_t lossCount = 0; // how often the sender has lost the receiver and given up the runs it requested there
     std::vector<ServerCapacity> capacities; // changes since the last report; not usable: remove the entry
     std::int64_t configurationVersion = 0;
-    bool wantsCapacity = true; // the sender has waiting tasks, or had some recently
-    TimeUs startQueueUs = 0;   // expected wait of a further start at the link of the sender
-    TimeUs perStartUs = 0;     // what each further start adds to it
+    bool wantsCapacity = true;       // the sender has waiting tasks, or had some recently
+    TimeUs startQueueUs = 0;         // expected wait of a further start at the link of the sender
+    TimeUs perStartUs = 0;           // what each further start adds to it
+    std::vector<CrashCount> crashes; // changes since the last report
 };
 // A configuration that the receiver may not have yet.
 struct RelayedConfiguration
--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -241,6 +241,7 @@
     flushQueuedRequests();
     checkRunning();
     removeLapsedServers();
+    m_crashes.expire(m_now);
     m_dispatchNeeded = true;
     if (m_drainingSince != never && m_now - m_drainingSince >= minDrainUs)
         m_commander.disableStarts();
@@ -430,6 +431,14 @@
         failJob(kept, "larger_than_every_backend_server");
         return;
     }
+    for (const CrashCount &crash : m_crashes.ofJob(kept.id)) {
+        if (crash.task.index < kept.tasks.size())
+            kept.tasks[crash.task.index].crashes = crash.count;
+        if (crash.count >= maxCrashes) {
+            failJob(kept, crashedBackendServers);
+            return;
+        }
+    }
     blockEndingTasks(kept);
     setInQueue(kept, kept.waiting > 0);
     m_dispatchNeeded = true;
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "command/commander.h"
+#include "command/crash_record.h"
 #include "command/election.h"
 #include "command/job.h"
 #include "command/placement.h"
@@ -134,6 +135,7 @@
         TimeUs reportAt = 0;               // when the last report was sent to it
         bool reportedWant = false;         // wantsCapacity of the last report sent to it
         std::uint64_t reportedVersion = 0; // of m_reported, as last sent to it
+        std::uint64_t reportedCrashes = 0; // version of m_crashes, as last sent to it
     };
     struct ReportedCapacity
     {
@@ -241,7 +243,10 @@
     void collectCandidates();
     Resources smallestWaitingTask() const;
     void placeJob(Job &job, bool othersWait);
-    void placeTask(Job &job, std::uint32_t index, const Candidate &candidate, TimeUs startUs);
+    void sendOrder(const Job &job, const std::string &node, const Resources &taskResources,
+                   std::vector<PlaceTasks::Item> &&items);
+    void placeTask(Job &job, std::uint32_t index, const Candidate &candidate, const Resources &reserved,
+                   TimeUs startUs);
     void flushOrders(Job &job);
     void setWaiting(Job &job, std::uint32_t index);
     void setInQueue(Job &job, bool isWaiting);
@@ -250,6 +255,8 @@
     void onEndingRun(const std::string &node, const TaskEnded &ended);
     void onTaskEnded(const std::string &node, const TaskEnded &ended);
     void deliverRunEnds();
+    void onCrash(const TaskId &task, std::string_view server);
+    void setCrashes(const TaskId &task, std::uint32_t count);
     void refuseHopelessJobs();
     void checkRunning();
 
@@ -273,6 +280,7 @@
     Commander m_commander;
     WorkEstimates m_work;
     RetryPlanner m_retryPlanner;
+    CrashRecord m_crashes;
     std::map<std::string, Job, std::less<>> m_jobs;       // ordered, so that equal inputs give equal actions
     absl::flat_hash_map<CallerId, std::string> m_callers; // job of each waiting caller
     std::set<CallerId> m_goneCallers;                     // disconnected before their requests were handled
@@ -280,11 +288,12 @@
     std::map<std::string, Peer, std::less<>> m_peers;
     std::map<TaskId, EndingRun> m_endingRuns;
     bool m_wasSlowLink = false;
-    LinkLoad m_link;                                               // of one placing pass
-    std::vector<Candidate> m_candidates;                           // of one dispatch()
-    std::size_t m_knownCapacityCount = 0;                          // of one dispatch(), with and without room
-    std::vector<CapacityReport::ServerCapacity> m_ownCapacities;   // of one dispatch()
-    std::map<std::string, std::vector<PlaceTasks::Item>> m_orders; // of one job in placeJob(), by node
+    LinkLoad m_link;                                             // of one placing pass
+    std::vector<Candidate> m_candidates;                         // of one dispatch()
+    std::size_t m_knownCapacityCount = 0;                        // of one dispatch(), with and without room
+    std::vector<CapacityReport::ServerCapacity> m_ownCapacities; // of one dispatch()
+    // Of one job in placeJob(), by node and by the resources that are reserved for each task.
+    std::map<std::pair<std::string, Resources>, std::vector<PlaceTasks::Item>> m_orders;
     std::vector<RunEndNotice> m_ended;
     std::vector<Action> *m_actions = nullptr; // of one apply() or placeTasks()
     TimeUs m_now = 0;                         // of one apply() or placeTasks()
--- a/packages/command/fleet_peers.cpp
+++ b/packages/command/fleet_peers.cpp
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace clementinelift::command {
 
@@ -211,6 +212,10 @@
     peer.perStartUs = message.perStartUs;
     if (message.hasRecentContact)
         confirmContact(node, peer);
+    for (const CrashCount &crash : message.crashes) {
+        if (m_crashes.merge(m_now, crash))
+            setCrashes(crash.task, crash.count);
+    }
     std::erase_if(peer.inFlight, [&](const InFlight &order) {
         if (order.sequence > message.lastSequence)
             return false;
@@ -312,6 +317,8 @@
         }
         peer.reportedVersion = m_reportVersion;
     }
+    if (peer.reportedCrashes < m_crashes.version())
+        report.crashes = m_crashes.changedSince(std::exchange(peer.reportedCrashes, m_crashes.version()));
     peer.reportAt = m_now;
     peer.reportedWant = report.wantsCapacity;
     m_actions->push_back(SendPeer{node, std::move(report)});
--- a/packages/command/fleet_placing.cpp
+++ b/packages/command/fleet_placing.cpp
@@ -61,8 +61,10 @@
             continue;
         ++m_knownCapacityCount;
         const ServerEntry *entry = m_commander.findEntry(capacity.server);
-        if (entry != nullptr && smallest.fitsInto(capacity.free))
-            m_candidates.push_back({capacity.server, selfNode, entry->service, capacity.free, capacity.speed});
+        if (entry == nullptr || !smallest.fitsInto(capacity.free))
+            continue;
+        m_candidates.push_back({capacity.server, selfNode, entry->service, capacity.free, capacity.speed});
+        m_candidates.back().total = entry->capacity;
     }
     for (const auto &[node, peer] : m_peers) {
         if (peer.lost)
@@ -79,6 +81,7 @@
             m_candidates.push_back({server, node, entry->service, free, reported.capacity.speed,
                                     peer.zone == m_settings.zone ? peerRoundTripUs : otherZoneRoundTripUs, startQueueUs,
                                     peer.perStartUs});
+            m_candidates.back().total = entry->capacity;
         }
     }
 }
@@ -139,6 +142,7 @@
     {
         std::uint32_t index;
         std::size_t candidate;
+        Resources reserved;
         TimeUs startUs;
     };
     std::vector<Placed> placed;
@@ -146,11 +150,17 @@
         if (job.tasks[index].state != TaskState::Waiting)
             continue;
         const TimeUs longestUs = runTimeLimit(job, m_now, othersWait);
-        const auto place = choosePlace(m_candidates, m_link, {job.service, job.taskResources, job.workUs, longestUs});
+        const bool hasCrashes = job.tasks[index].crashes > 0;
+        const auto place =
+                choosePlace(m_candidates, m_link, {job.service, job.taskResources, job.workUs, longestUs, hasCrashes});
+        if (!place && hasCrashes)
+            continue;
         if (!place)
             break;
-        placed.push_back({index, *place, expectStart(m_candidates[*place], m_link)});
-        addTask(m_candidates, *place, job.taskResources, m_link);
+        // The whole backend server is reserved for a task with crashes.
+        const Resources reserved = hasCrashes ? m_candidates[*place].total : job.taskResources;
+        placed.push_back({index, *place, reserved, expectStart(m_candidates[*place], m_link)});
+        addTask(m_candidates, *place, reserved, m_link);
     }
     if (onlyWhole && placed.size() < job.waiting) {
         m_candidates = std::move(candidatesBefore);
@@ -158,7 +168,7 @@
         return;
     }
     for (const Placed &place : placed)
-        placeTask(job, place.index, m_candidates[place.candidate], place.startUs);
+        placeTask(job, place.index, m_candidates[place.candidate], place.reserved, place.startUs);
     flushOrders(job);
     for (Candidate &candidate : m_candidates)
         candidate.hasOrder = false;
@@ -166,7 +176,8 @@
         setInQueue(job, false);
 }
 
-void FleetDispatcher::placeTask(Job &job, std::uint32_t index, const Candidate &candidate, TimeUs startUs)
+void FleetDispatcher::placeTask(Job &job, std::uint32_t index, const Candidate &candidate, const Resources &reserved,
+                                TimeUs startUs)
 {
     Task &task = job.tasks[index];
     task.state = TaskState::Placed;
@@ -182,45 +193,52 @@
     ++job.placed;
     if (job.firstPlacedAt == 0)
         job.firstPlacedAt = m_now;
-    m_orders[task.node].push_back({index, task.run, task.server});
+    m_orders[{task.node, reserved}].push_back({index, task.run, task.server});
 }
 
 void FleetDispatcher::flushOrders(Job &job)
 {
-    for (auto &[node, items] : m_orders) {
-        PlaceTasks order;
-        order.job = job.id;
-        order.spec = job.spec;
-        order.service = job.service;
-        order.taskResources = job.taskResources;
-        order.expectedUs = job.workUs;
-        order.items = std::move(items);
-        if (node == selfNode) {
-            for (const PlaceTasks::Item &item : order.items) {
-                if (m_commander.start(m_now, selfNode, order, item, *m_actions))
-                    ++m_counters.starts;
-                else
-                    m_ended.push_back({std::string(selfNode),
-                                       {{job.id, item.index}, item.run, RunEnd::NotAsked, 0, item.server}});
-            }
-            continue;
-        }
-        Peer &peer = m_peers.find(node)->second;
-        order.sequence = ++peer.lastSent;
-        order.echo = peer.reportSentAt;
-        order.lossCount = peer.lossCount;
+    for (auto &[target, items] : m_orders)
+        sendOrder(job, target.first, target.second, std::move(items));
+    m_orders.clear();
+}
+
+void FleetDispatcher::sendOrder(const Job &job, const std::string &node, const Resources &taskResources,
+                                std::vector<PlaceTasks::Item> &&items)
+{
+    PlaceTasks order;
+    order.job = job.id;
+    order.spec = job.spec;
+    order.service = job.service;
+    order.taskResources = taskResources;
+    order.expectedUs = job.workUs;
+    order.items = std::move(items);
+    if (node == selfNode) {
         for (const PlaceTasks::Item &item : order.items) {
-            peer.inFlight.push_back({order.sequence, item.server, job.taskResources});
-            peer.capacities[item.server].reserved += job.taskResources;
+            if (m_commander.start(m_now, selfNode, order, item, *m_actions))
+                ++m_counters.starts;
+            else
+                m_ended.push_back(
+                        {std::string(selfNode), {{job.id, item.index}, item.run, RunEnd::NotAsked, 0, item.server}});
         }
-        m_counters.remoteStarts += order.items.size();
-        m_actions->push_back(SendPeer{node, std::move(order)});
+        return;
     }
-    m_orders.clear();
+    Peer &peer = m_peers.find(node)->second;
+    order.sequence = ++peer.lastSent;
+    order.echo = peer.reportSentAt;
+    order.lossCount = peer.lossCount;
+    for (const PlaceTasks::Item &item : order.items) {
+        peer.inFlight.push_back({order.sequence, item.server, taskResources});
+        peer.capacities[item.server].reserved += taskResources;
+    }
+    m_counters.remoteStarts += order.items.size();
+    m_actions->push_back(SendPeer{node, std::move(order)});
 }
 
 // Ends of runs --------------------------------------------------------------------------------------
 
+// Crashes go first: a coordinator that knows of the last crash under a task answers that the job has failed, and
+// otherwise that it was given up, which makes the caller submit it again.
 void FleetDispatcher::deliverRunEnds()
 {
     while (!m_ended.empty()) {
@@ -228,10 +246,20 @@
         m_ended.clear();
         m_dispatchNeeded = true;
         for (const RunEndNotice &end : ended) {
-            if (end.coordinator == selfNode)
+            if (end.isCrash)
+                onCrash(end.ended.task, end.ended.server);
+        }
+        for (const RunEndNotice &end : ended) {
+            if (end.isCrash)
+                continue;
+            if (end.coordinator == selfNode) {
                 onTaskEnded(std::string(selfNode), end.ended);
-            else
-                m_actions->push_back(SendPeer{end.coordinator, end.ended});
+                continue;
+            }
+            const auto peer = m_peers.find(end.coordinator);
+            if (peer != m_peers.end() && peer->second.connected && peer->second.reportedCrashes < m_crashes.version())
+                sendReport(peer->first, peer->second, false);
+            m_actions->push_back(SendPeer{end.coordinator, end.ended});
         }
     }
 }
@@ -276,6 +304,27 @@
         m_endingRuns.erase(found);
 }
 
+// The commander counts, because it outlives many coordinators; the count reaches the coordinator with a report.
+void FleetDispatcher::onCrash(const TaskId &task, std::string_view server)
+{
+    const std::uint32_t count = m_crashes.add(m_now, task);
+    logLine(true, "jobs",
+            concat("backend server crashed under a task job=", task.job, " task=", task.index, " server=", server,
+                   " crashes=", count));
+    setCrashes(task, count);
+}
+
+// Applies a higher count to the task if its job is here. A job whose task may not be started again has failed.
+void FleetDispatcher::setCrashes(const TaskId &task, std::uint32_t count)
+{
+    const auto found = m_jobs.find(task.job);
+    if (found == m_jobs.end() || task.index >= found->second.tasks.size())
+        return;
+    found->second.tasks[task.index].crashes = count;
+    if (count >= maxCrashes)
+        failJob(found->second, crashedBackendServers);
+}
+
 void FleetDispatcher::onTaskEnded(const std::string &node, const TaskEnded &ended)
 {
     onEndingRun(node, ended);
--- a/packages/command/job.h
+++ b/packages/command/job.h
@@ -7,6 +7,9 @@
 
 namespace clementinelift::command {
 
+// Reason of a job that is failed because backend servers have crashed under one of its tasks.
+constexpr std::string_view crashedBackendServers = "crashed_backend_servers";
+
 enum class TaskState : std::uint8_t {
     Waiting, // for free capacity
     Placed,  // a start was ordered
@@ -19,13 +22,14 @@
     TaskState state = TaskState::Waiting;
     RunNumber run = 0; // of the last order
     std::uint32_t failures = 0;
-    bool stopping = false; // Placed: overdue, a stop of the run was requested
-    std::string server;    // Placed
-    std::string node;      // Placed: commander, empty: this entry VM
-    double speed = 1.0;    // Placed: of its backend server
-    TimeUs placedAt = 0;   // Placed
-    TimeUs startUs = 0;    // Placed: expected time from placing to its start on the backend server
-    TimeUs retryAt = 0;    // Blocked
+    std::uint32_t crashes = 0; // of backend servers under the task; it needs one of its own when there are any
+    bool stopping = false;     // Placed: overdue, a stop of the run was requested
+    std::string server;        // Placed
+    std::string node;          // Placed: commander, empty: this entry VM
+    double speed = 1.0;        // Placed: of its backend server
+    TimeUs placedAt = 0;       // Placed
+    TimeUs startUs = 0;        // Placed: expected time from placing to its start on the backend server
+    TimeUs retryAt = 0;        // Blocked
 };
 
 struct Job
--- a/packages/command/placement.cpp
+++ b/packages/command/placement.cpp
@@ -35,7 +35,7 @@
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const Candidate &candidate = candidates[i];
         if (!task.resources.fitsInto(candidate.free) || candidate.service != task.service
-            || candidate.startQueueUs > maxStartDelayUs)
+            || (task.needsWholeServer && candidate.free != candidate.total) || candidate.startQueueUs > maxStartDelayUs)
             continue;
         const TimeUs finish = expectFinish(candidate, link, task.workUs);
         const TimeUs costUs = finish + (candidate.node.empty() ? 0 : peerCostUs);
--- a/packages/command/placement.h
+++ b/packages/command/placement.h
@@ -24,6 +24,7 @@
     TimeUs startQueueUs = 0; // wait of a further start at the link of its commander, if that is a peer
     TimeUs perStartUs = 0;   // what each further start adds to it
     bool hasOrder = false;   // an order of the job to its commander, if that is a peer, is already being prepared
+    Resources total;         // free, and in use by other tasks
 };
 
 // What a placing pass assumes of the network link of this entry VM. Every start here and every order to a peer carries
@@ -39,8 +40,9 @@
 {
     std::string_view service;
     Resources resources;
-    TimeUs workUs = 0;   // run time on a backend server of speed 1
-    TimeUs latestUs = 0; // from now; no candidate is chosen where the task ends later
+    TimeUs workUs = 0;             // run time on a backend server of speed 1
+    TimeUs latestUs = 0;           // from now; no candidate is chosen where the task ends later
+    bool needsWholeServer = false; // only a candidate without other tasks is chosen
 };
 
 // Expected time from now until a task starts on the candidate, and until it ends there.
--- a/packages/command/types.h
+++ b/packages/command/types.h
@@ -36,7 +36,7 @@
     std::int64_t memoryMb = 0;     // MiB
     std::int64_t accelerators = 0; // whole devices
 
-    bool operator==(const Resources &) const = default;
+    auto operator<=>(const Resources &) const = default; // lexicographic, for keys
 
     Resources &operator+=(const Resources &other)
     {
--- a/packages/net/fleet_codec.cpp
+++ b/packages/net/fleet_codec.cpp
@@ -52,9 +52,13 @@
         capacities.push_back(Json::array({room.server, encodeResources(room.free),
                                           static_cast<std::int64_t>(room.speed * perMille), room.token, room.usable}));
     }
+    Json crashes = Json::array();
+    for (const command::CrashCount &crash : message.crashes)
+        crashes.push_back(Json::array({crash.task.job, crash.task.index, crash.count}));
     return Json::array({Type::Room, message.sentAt, message.coordinates, message.stopping, message.lastSequence,
                         message.hasRecentContact, message.lossCount, std::move(capacities),
-                        message.configurationVersion, message.wantsCapacity, message.startQueueUs, message.perStartUs});
+                        message.configurationVersion, message.wantsCapacity, message.startQueueUs, message.perStartUs,
+                        std::move(crashes)});
 }
 
 Json encode(const command::RelayedConfiguration &message)
@@ -235,6 +239,17 @@
         message.startQueueUs = std::clamp<command::TimeUs>(fields.number<command::TimeUs>(), 0, maxReportedWaitUs);
         message.perStartUs = std::clamp<command::TimeUs>(fields.number<command::TimeUs>(), 0, maxReportedWaitUs);
     }
+    if (fields.hasMore()) {
+        for (const Json &row : fields.list()) {
+            Elements items(row, 0);
+            std::string job = items.text();
+            const auto index = items.number<std::uint32_t>();
+            const auto count = items.number<std::uint32_t>();
+            if (!items.isValid())
+                return false;
+            message.crashes.push_back({{std::move(job), index}, count});
+        }
+    }
     return fields.isValid();
 }
 
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <atomic>
 #include <cassert>
+#include <cerrno>
 #include <chrono>
 #include <map>
 #include <mutex>
@@ -290,6 +291,9 @@
         result.error = transfer->error[0] != 0 ? transfer->error.data() : curl_easy_strerror(code);
         result.headers.clear();
         result.body.clear();
+        long systemError = 0;
+        curl_easy_getinfo(handle, CURLINFO_OS_ERRNO, &systemError);
+        result.isRefused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
     }
 
     curl_multi_remove_handle(multi, handle);
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -45,10 +45,11 @@
 struct HttpResult
 {
     HttpOutcome outcome = HttpOutcome::Unknown;
-    int status = 0;     // set for Answered
-    HttpFields headers; // set for Answered
-    std::string body;   // set for Answered
-    std::string error;  // error text, empty for Answered
+    int status = 0;         // set for Answered
+    HttpFields headers;     // set for Answered
+    std::string body;       // set for Answered
+    std::string error;      // error text, empty for Answered
+    bool isRefused = false; // the last connection attempt was refused: nothing listens at the address
 };
 
 // HttpClient ----------------------------------------------------------------------------------------
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -63,6 +63,7 @@
     TimeUs budgetUs = 5 * usPerS;
     std::string path = "/q/"; // path prefix of its route
     double workSpread = 0;    // relative spread of the true work of the tasks
+    std::uint32_t deadly = 0; // the first tasks, as many, crash each backend server that starts them
 };
 
 inline std::string makeJobId(std::uint64_t number)
@@ -281,13 +282,21 @@
         m_lostAnswerShare = share;
         m_lostAnswerDelayUs = delayUs;
     }
-    void crash(int index)
+    // The process ends. Connections to it are refused, or without power nothing answers.
+    void crash(int index, bool refuses = false)
     {
         SimServer &server = m_servers[static_cast<std::size_t>(index)];
         server.up = false;
+        server.refuses = refuses;
         server.runs.clear();
         server.ended.clear();
-        server.holds.clear();
+        for (const SimServer::Hold &hold : std::exchange(server.holds, {})) {
+            if (!refuses)
+                continue;
+            HoldResult reset = std::get<HoldResult>(makeResult(hold.order, OrderOutcome::Unknown, std::nullopt));
+            reset.isRefused = true; // the connection was reset, and the next one is refused
+            hold.reply(std::move(reset));
+        }
     }
     // Restarts the backend server without its earlier state. Entry VMs read its new entry after entryDelayUs.
     void reboot(int index, TimeUs entryDelayUs = 0)
@@ -375,6 +384,13 @@
         const auto found = m_startsOfJob.find(job);
         return found == m_startsOfJob.end() ? 0 : found->second;
     }
+    // Backend servers that tasks of the job have crashed.
+    int crashesBy(const std::string &job) const
+    {
+        const auto found = m_crashesBy.find(job);
+        return found == m_crashesBy.end() ? 0 : found->second;
+    }
+    void setCrashesRefuse(bool refuse) { m_crashesRefuse = refuse; }
     std::size_t runCount() const
     {
         std::size_t sum = 0;
@@ -610,6 +626,16 @@
         const TimeUs startedAt = m_servers[static_cast<std::size_t>(target)].startedAt;
         after(delayUs, [this, index, incarnation, target, order, sentAt, isLost, answered, startedAt] {
             SimServer &server = m_servers[static_cast<std::size_t>(target)];
+            if (!server.up && server.refuses && m_cutServers.count({index, target}) == 0 && !*answered) {
+                *answered = true;
+                if (m_nodes[static_cast<std::size_t>(index)].incarnation != incarnation)
+                    return;
+                Event refused = makeResult(order, OrderOutcome::NotSent, std::nullopt);
+                if (auto *hold = std::get_if<HoldResult>(&refused))
+                    hold->isRefused = true;
+                deliver(index, std::move(refused));
+                return;
+            }
             // A delayed order is lost when the backend server has restarted in the meantime.
             if (!server.up || server.startedAt != startedAt || m_cutServers.count({index, target}) > 0)
                 return;
@@ -625,7 +651,8 @@
                     std::visit(
                             [this](auto &content) {
                                 if constexpr (requires { content.clock; })
-                                    content.clock->receivedAt = m_now;
+                                    if (content.clock)
+                                        content.clock->receivedAt = m_now;
                             },
                             arrived);
                     deliver(index, std::move(arrived));
@@ -720,6 +747,17 @@
                                            : static_cast<TimeUs>(static_cast<double>(job.workUs) * factor);
         server.runs[order.task] = {order.run, taskResources, m_now + workUs, serial};
         answerWith(OrderOutcome::Accepted);
+        if (order.task.index < job.deadly) {
+            after(2 * usPerMs, [this, target, task = order.task, serial] {
+                const SimServer &running = m_servers[static_cast<std::size_t>(target)];
+                const auto found = running.runs.find(task);
+                if (found == running.runs.end() || found->second.serial != serial)
+                    return;
+                ++m_crashesBy[task.job];
+                crash(target, m_crashesRefuse);
+                after(3 * usPerS, [this, target] { reboot(target, 500 * usPerMs); });
+            });
+        }
         after(workUs, [this, target, task = order.task, serial] {
             SimServer &done = m_servers[static_cast<std::size_t>(target)];
             const auto found = done.runs.find(task);
@@ -830,6 +868,8 @@
     std::map<std::string, int> m_refusals;
     std::set<std::string> m_refused;
     std::map<std::string, std::uint64_t> m_startsOfJob;
+    std::map<std::string, int> m_crashesBy; // by job
+    bool m_crashesRefuse = true;            // connections to a backend server that a task has crashed are refused
     std::map<int, std::uint64_t> m_startsOn;
     std::map<std::pair<int, int>, std::uint64_t> m_sentMessages; // by sender and receiver
     std::map<int, int> m_relayedConfigurations;                  // by receiver
--- a/tests/unit/command/sim_server.h
+++ b/tests/unit/command/sim_server.h
@@ -32,6 +32,7 @@
     double clockRate = 1.0; // 0.98 .. 1
     TimeUs startedAt = 0;
     bool up = true;
+    bool refuses = false;      // while not up: connections are refused at once
     bool unresponsive = false; // sends no answers, but its runs continue
     bool failing = false;      // every run fails after 2 ms
     bool hanging = false;      // runs never end
--- a/tests/unit/net/http_test.cpp
+++ b/tests/unit/net/http_test.cpp
@@ -185,12 +185,16 @@
     const std::string url = makeUrl(server.port, "/");
     SECTION("nobody listens")
     {
-        CHECK(exchange(client, {.method = "POST", .url = url}).outcome == HttpOutcome::NotSent);
+        const HttpResult result = exchange(client, {.method = "POST", .url = url});
+        CHECK(result.outcome == HttpOutcome::NotSent);
+        CHECK(result.isRefused);
     }
     SECTION("connection closed after the request")
     {
         server.run(0);
-        CHECK(exchange(client, {.method = "POST", .url = url, .body = "x"}).outcome == HttpOutcome::Unknown);
+        const HttpResult result = exchange(client, {.method = "POST", .url = url, .body = "x"});
+        CHECK(result.outcome == HttpOutcome::Unknown);
+        CHECK_FALSE(result.isRefused);
         CHECK(server.requests == 1);
     }
     SECTION("a request on a kept connection is not sent twice")
