Refuse a job that fits again once the backend servers have grown

What callers would see: the final answer "failed" for a sound job, when the capacity of all backend servers of its service has shrunk below one of its tasks for a while.

Cause: "larger than every backend server" was decided by the capacities of the moment.

Evidence: the new test failed on the parent (failed instead of refused).

Change: a task that has fitted into the largest capacity that some backend server has reported in its incarnation is refused at once, with Retry-After 1 s, while it fits into none.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -30,6 +30,12 @@
 constexpr std::uint32_t failuresBeforeBlock = 2;   // one run in 500 fails by its own fault, two in a row are rare
 constexpr TimeUs unhealthyBlockUs = 150 * usPerMs; // after the answer "unhealthy"
 
+Resources largestOf(const Resources &left, const Resources &right)
+{
+    return {std::max(left.milliCores, right.milliCores), std::max(left.memoryMb, right.memoryMb),
+            std::max(left.accelerators, right.accelerators)};
+}
+
 } // namespace
 
 std::string_view toString(Stage stage)
@@ -78,6 +84,8 @@
             && entry.incarnationStartMs > server.incarnationStartMs;
     const bool isMoved = server.listed && entry.address != server.entry.address;
     server.entry = entry;
+    server.largestCapacity =
+            !server.listed || isNewIncarnation ? entry.capacity : largestOf(server.largestCapacity, entry.capacity);
     server.listed = true;
     if (server.incarnationStartMs == 0)
         server.incarnationStartMs = entry.incarnationStartMs;
@@ -719,6 +727,13 @@
     });
 }
 
+bool Commander::hasFittedSomewhere(const Resources &taskResources, std::string_view service) const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(), [&](const Server &server) {
+        return server.listed && server.entry.service == service && taskResources.fitsInto(server.largestCapacity);
+    });
+}
+
 bool Commander::isCommanded(std::string_view server) const
 {
     const auto found = m_indexes.find(server);
--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -101,8 +101,10 @@
     bool hasRunsToHandOver() const;
     std::size_t commandedCount() const;
     const ServerEntry *findEntry(std::string_view server) const;
-    // Whether the total capacity of some backend server of the service is large enough for the task.
+    // Whether the total capacity of some backend server of the service is large enough for the task: as it is now, and
+    // as the largest one that its incarnation has reported.
     bool fitsSomewhere(const Resources &taskResources, std::string_view service) const;
+    bool hasFittedSomewhere(const Resources &taskResources, std::string_view service) const;
     const StartDelay &startDelay() const { return m_startDelay; }
     std::uint64_t capacityVersion() const { return m_capacityVersion; } // increases when capacities() may have changed
 
@@ -143,6 +145,7 @@
         bool hasRestarted = false; // since the last lists; runs that the next ones do not name have crashed with it
         FencingToken token = 0;
         FencingToken fencedToken = 0; // orders under this token were refused
+        Resources largestCapacity;    // that its incarnation has reported; capacities shrink and grow again
         Resources used;
         std::vector<TaskId> runs;
         SpeedEstimate speed;
--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -21,6 +21,7 @@
 constexpr TimeUs exitReserveUs = 900 * usPerMs;     // at the end of a drain, to hand over shards and close links
 constexpr TimeUs stopRunsUs = 100 * usPerMs;        // a stop of a run takes 50 ms
 constexpr TimeUs notReadyRetryAfterUs = 1 * usPerS; // sent to callers before the configuration is known
+constexpr TimeUs shrunkRetryAfterUs = 1 * usPerS;   // sent while the backend servers have shrunk below the task
 constexpr TimeUs lapsedGraceUs = 2 * usPerS;        // entries that expired during a store outage return within this
 constexpr std::size_t idLength = 16;
 
@@ -368,12 +369,6 @@
     return {};
 }
 
-// Whether the total capacity of some backend server of the service is large enough for one task.
-bool FleetDispatcher::fitsSomewhere(const Resources &taskResources, std::string_view service) const
-{
-    return m_commander.fitsSomewhere(taskResources, service);
-}
-
 void FleetDispatcher::submit(CallerRequest &request, const Route &route, std::string_view id)
 {
     if (!isJobId(id) || !request.job || request.job->steps.empty() || request.job->steps.front().count == 0) {
@@ -427,10 +422,14 @@
         refuseJob(kept, reason, 0);
         return;
     }
-    if (m_serversKnown && !fitsSomewhere(kept.taskResources, kept.service)) {
+    if (m_serversKnown && !m_commander.hasFittedSomewhere(kept.taskResources, kept.service)) {
         failJob(kept, "larger_than_every_backend_server");
         return;
     }
+    if (m_serversKnown && !m_commander.fitsSomewhere(kept.taskResources, kept.service)) {
+        refuseJob(kept, "capacity_shrunk", shrunkRetryAfterUs);
+        return;
+    }
     for (const CrashCount &crash : m_crashes.ofJob(kept.id)) {
         if (crash.task.index < kept.tasks.size())
             kept.tasks[crash.task.index].crashes = crash.count;
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -224,7 +224,6 @@
     void submit(CallerRequest &request, const Route &route, std::string_view id);
     void send(AnswerCaller &&answer);
     std::string_view findUnservable(const JobRequest &request, const Route &route) const;
-    bool fitsSomewhere(const Resources &taskResources, std::string_view service) const;
     void answer(CallerId caller, AnswerKind kind, std::string_view reason = {}, TimeUs retryAfterUs = 0);
     void completeJob(Job &job);
     void failJob(Job &job, std::string_view reason);
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -334,6 +334,17 @@
             deliver(members[i], std::move(held));
         }
     }
+    // Changes the capacity of a backend server that is at work. Entry VMs read it after entryDelayUs.
+    void resizeServer(int index, std::int64_t milliCores, TimeUs entryDelayUs = 0)
+    {
+        SimServer &server = m_servers[static_cast<std::size_t>(index)];
+        server.entry.capacity.milliCores = milliCores;
+        server.resizedAt = m_now + entryDelayUs;
+        after(entryDelayUs, [this, entry = server.entry] {
+            for (int node = 0; node < nodeCount(); ++node)
+                deliver(node, ServerListed{entry});
+        });
+    }
     void drainServer(int index, bool draining)
     {
         SimServer &server = m_servers[static_cast<std::size_t>(index)];
@@ -479,6 +490,8 @@
         performActions(index, actions);
     }
 
+    static constexpr TimeUs readDelayUs = 10 * usPerMs; // from an entry to the last start that was ordered before it
+
     static void setCut(Pairs &cuts, std::pair<int, int> pair, bool cut)
     {
         if (cut)
@@ -731,8 +744,12 @@
         const WorldJob &job = m_jobs.at(order.task.job);
         const Resources taskResources{job.milliCores, 64, 0};
         if (!taskResources.fitsInto(server.entry.capacity - server.used())) {
-            answerWith(OrderOutcome::NoRoom);
-            return;
+            if (server.guardsCapacity) {
+                answerWith(OrderOutcome::NoRoom);
+                return;
+            }
+            if (m_now > server.resizedAt + readDelayUs)
+                m_violations.push_back("start beyond the capacity of " + server.entry.id);
         }
         recordStart(target, order.task);
         const std::uint64_t serial = ++m_serial;
--- a/tests/unit/command/sim_server.h
+++ b/tests/unit/command/sim_server.h
@@ -37,6 +37,8 @@
     bool failing = false;      // every run fails after 2 ms
     bool hanging = false;      // runs never end
     bool listed = true;
+    bool guardsCapacity = true; // rejects what does not fit
+    TimeUs resizedAt = 0;       // when entry VMs know of the last change of its capacity
     FencingToken token = 0;
     std::int64_t leaseEndMs = 0;
     std::int64_t lastEnd = 0;
