Accept answers of a backend server whose time of day went back

What callers would see: jobs that never end, on a backend server that restarted under its id after its time of day had been set back.

Cause: an incarnation with an earlier start time was taken for a delayed answer of the one before. All its lists were ignored, while starts were still sent and leases renewed.

Change: the number of the hold already excludes delayed answers, so any other start time in an answer begins a new incarnation. A registry entry does so only with a later start time, as entries may be older than what the backend server has said.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -355,20 +355,17 @@
     reportCrash(server, ended);
 }
 
-// True unless the answer came from an earlier incarnation.
-bool Commander::acceptIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions,
+// The answer to the last hold comes from the present incarnation, whose start time may be earlier than that of the one
+// before: the time of day of a backend server may have been set back.
+void Commander::acceptIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions,
                                   std::vector<RunEndNotice> &ended)
 {
     if (incarnationStartMs == 0 || incarnationStartMs == server.incarnationStartMs)
-        return true;
-    if (server.incarnationStartMs == 0) {
+        return;
+    if (server.incarnationStartMs == 0)
         server.incarnationStartMs = incarnationStartMs;
-        return true;
-    }
-    if (incarnationStartMs < server.incarnationStartMs)
-        return false; // a delayed answer of an earlier incarnation
-    beginIncarnation(server, incarnationStartMs, actions, ended);
-    return true;
+    else
+        beginIncarnation(server, incarnationStartMs, actions, ended);
 }
 
 void Commander::applyRunLists(TimeUs now, Server &server, const HoldResult &event, TimeUs sentAt,
@@ -464,10 +461,7 @@
     switch (event.outcome) {
     case OrderOutcome::Accepted:
         server.missingAnswers = 0;
-        if (!acceptIncarnation(server, event.incarnationStartMs, actions, ended)) {
-            server.nextProbeAt = now + minProbeIntervalUs;
-            return;
-        }
+        acceptIncarnation(server, event.incarnationStartMs, actions, ended);
         server.givenUpTasks.clear(); // it has not crashed
         if (event.clock)
             readClock(server, *event.clock);
--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -187,7 +187,7 @@
     bool mayRenew(const Server &server, TimeUs now) const;
     static void beginIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions,
                                  std::vector<RunEndNotice> &ended);
-    static bool acceptIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions,
+    static void acceptIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions,
                                   std::vector<RunEndNotice> &ended);
 
     CommanderSettings m_settings;
--- a/tests/unit/command/fleet_dispatcher_test.cpp
+++ b/tests/unit/command/fleet_dispatcher_test.cpp
@@ -273,6 +273,26 @@
     CHECK(world.answer(caller)->kind == Kind::Completed);
 }
 
+// Guards against answers of a backend server that are ignored as those of an earlier incarnation, while tasks are
+// started.
+TEST_CASE("a backend server whose time of day went back before its restart is asked and used")
+{
+    FleetWorld world({.zones = {{"a", 1, 2}}});
+    world.start();
+    for (int server = 0; server < world.serverCount(); ++server) {
+        world.crash(server);
+        world.runFor(20 * usPerMs);
+        world.reboot(server);
+        world.server(server).entry.incarnationStartMs = 500; // less than before
+    }
+    world.runFor(usPerS);
+    std::vector<CallerId> callers;
+    submitLoad(world, usPerS, 100 * usPerMs, callers, {.tasks = 2, .workUs = 50 * usPerMs});
+    world.runFor(3 * usPerS);
+    CHECK(count(world, callers, Kind::Completed) == callers.size());
+    CHECK(join(world.violations()).empty());
+}
+
 // Guards against jobs that wait for a run on a backend server that has restarted and cannot be asked for it.
 TEST_CASE("the runs of a restarted backend server that does not answer are given up when their leases have ended")
 {
