End only the rejected run when a start meets another instance

What callers would see: two runs of a task, when an order to the earlier address of a backend server is rejected (421) after the backend server has moved and has accepted further runs. Found by the review of the restart of backend servers.

Cause: the rejection of one start ended all runs of the backend server. Unlike the answers to holds, those to starts have no number that excludes late ones.

Evidence: the new test of the commander failed on the parent (the run at the new address was reported as ended).

Change: the rejected start counts as not run, and a hold decides about the other runs.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -577,7 +577,10 @@
         onFenced(now, server, actions, ended);
         return;
     case OrderOutcome::OtherInstance:
-        onOtherInstance(now, server, actions, ended);
+        // The order may have gone to an earlier address; the answer to a hold decides about the other runs.
+        endRun(now, event.task, RunEnd::NotRun, 0, ended);
+        if (server.stage == Stage::Usable)
+            sendHold(now, server, false, 0, actions);
         return;
     case OrderOutcome::Unhealthy:
         server.blockedUntil = std::max(server.blockedUntil, now + unhealthyBlockUs);
--- /dev/null
+++ b/tests/unit/command/commander_test.cpp
@@ -0,0 +1,89 @@
+// Tests of the commander with one backend server, whose answers come in orders that the simulation does not play.
+#include "command/commander.h"
+
+#include <catch2/catch.hpp>
+
+namespace clementinelift::command {
+namespace {
+
+template <typename T> std::vector<T> pickAll(const std::vector<Action> &actions)
+{
+    std::vector<T> found;
+    for (const Action &action : actions) {
+        if (const auto *one = std::get_if<T>(&action))
+            found.push_back(*one);
+    }
+    return found;
+}
+
+// A commander with one backend server, whose answers the test gives.
+struct SingleServer
+{
+    Commander commander{{"a", usPerS}};
+    std::vector<Action> actions;
+    std::vector<RunEndNotice> ended;
+    TimeUs now = 10 * usPerS;
+    ServerEntry entry;
+
+    SingleServer()
+    {
+        entry.id = "s-0";
+        entry.service = "svc";
+        entry.address = "10.0.0.1:80";
+        entry.zone = "a";
+        entry.capacity = {32000, 100000, 0};
+        entry.incarnationStartMs = 1000;
+        commander.addServer(now, entry, actions, ended);
+        commander.assignShards(now, {1, 1, {0}}, actions, ended);
+        answerHold(500000, 1000, {});
+    }
+    std::uint64_t lastHold() { return pickAll<SendHold>(actions).back().sequence; }
+    void answerHold(std::int64_t clockMs, std::int64_t born, std::vector<RunningRun> running)
+    {
+        HoldResult result;
+        result.server = "s-0";
+        result.sequence = lastHold();
+        result.outcome = OrderOutcome::Accepted;
+        result.clock = ClockReading{clockMs, now, now};
+        result.incarnationStartMs = born;
+        result.running = std::move(running);
+        commander.onHoldResult(now, result, actions, ended);
+    }
+    bool start(const std::string &job)
+    {
+        PlaceTasks order;
+        order.job = job;
+        order.service = "svc";
+        order.taskResources = {1000, 64, 0};
+        order.expectedUs = 500 * usPerMs;
+        return commander.start(now, selfNode, order, {0, 1, "s-0"}, actions);
+    }
+    void startResult(const std::string &job, OrderOutcome outcome, std::optional<ClockReading> clock)
+    {
+        commander.onStartResult(now, StartResult{"s-0", {job, 0}, 1, outcome, clock}, actions, ended);
+    }
+};
+
+// Guards against two runs when an order to the earlier address of a backend server is rejected after it has moved.
+TEST_CASE("a rejected order to an earlier address ends no run at the new one")
+{
+    SingleServer bench;
+    REQUIRE(bench.start("old"));
+    bench.now += 5 * usPerMs;
+    bench.entry.address = "10.0.0.2:80";
+    bench.entry.incarnationStartMs = 2000;
+    bench.commander.addServer(bench.now, bench.entry, bench.actions, bench.ended);
+    bench.now += 2 * usPerMs;
+    bench.answerHold(1000, 2000, {});
+    REQUIRE(bench.start("new"));
+    bench.now += 2 * usPerMs;
+    bench.startResult("new", OrderOutcome::Accepted, ClockReading{1004, bench.now, bench.now});
+    bench.ended.clear();
+    bench.startResult("old", OrderOutcome::OtherInstance, std::nullopt);
+    for (const RunEndNotice &end : bench.ended) {
+        CHECK(end.ended.task.job == "old");
+    }
+}
+
+} // namespace
+} // namespace clementinelift::command
