Bound the runs on a backend server that has restarted unnoticed

What callers would see: two runs of a task, where a start reaches a restarted backend server late and without an answer, and contact is then lost.

Cause: a lease end is a time on the clock of the backend server. The clock of a new incarnation is behind, so it shortens the lease to 1,000 ms from the arrival of the order and takes no order for late, while the reported bound counts from the sending.

Evidence: the new test, a start that is 30, 60, 100 or 140 ms late, failed on the parent for the last three: two runs.

Change: the bound of a run without any answer includes the time for the answer; an accepted start whose clock is behind its lower bound proves a restart, raises the bound and asks for the lists; after a restart, starts without an answer are stopped until the backend server answers the stop.

Remains: an order that a restarted backend server carries out seconds late while it cannot be asked.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -30,6 +30,12 @@
 constexpr std::uint32_t failuresBeforeBlock = 2;   // one run in 500 fails by its own fault, two in a row are rare
 constexpr TimeUs unhealthyBlockUs = 150 * usPerMs; // after the answer "unhealthy"
 
+// Longest time that a lease lasts on the clock of this entry VM.
+TimeUs leaseBound(TimeUs leaseUs)
+{
+    return static_cast<TimeUs>(static_cast<double>(leaseUs) / minClockRate) + clockResolutionUs;
+}
+
 Resources largestOf(const Resources &left, const Resources &right)
 {
     return {std::max(left.milliCores, right.milliCores), std::max(left.memoryMb, right.memoryMb),
@@ -176,9 +182,12 @@
     server.runs.clear();
     for (const TaskId &task : runs) {
         const Run &run = m_runs.find(task)->second;
-        if (run.acceptedAt == never && endsBy > now)
+        const bool isUnconfirmed = run.acceptedAt == never && endsBy > now;
+        if (isUnconfirmed)
             server.unconfirmedStarts.push_back({task, run.number, endsBy});
-        endRun(now, task, RunEnd::Lost, std::max<TimeUs>(endsBy - now, 0), ended);
+        // A backend server that has restarted unnoticed counts the lease from the arrival of the order.
+        const TimeUs boundUs = endsBy + (isUnconfirmed ? answerTimeoutUs : 0);
+        endRun(now, task, RunEnd::Lost, std::max<TimeUs>(boundUs - now, 0), ended);
     }
     server.used = {};
 }
@@ -207,6 +216,12 @@
     server.clockAt = reading.receivedAt;
 }
 
+// Whether the clock is behind its lower bound, as after a restart.
+bool Commander::isBehind(const Server &server, const ClockReading &reading) const
+{
+    return server.clockAt != 0 && reading.serverMs < clockNow(server, reading.sentAt);
+}
+
 // A lower bound of the server's clock, so that a lease computed from this value never ends later than intended.
 std::int64_t Commander::clockNow(const Server &server, TimeUs now) const
 {
@@ -226,8 +241,7 @@
     order.timeoutUs = waitMs * usPerMs + (waitMs > 0 ? holdAnswerMarginUs : answerTimeoutUs);
     if (withLease && server.clockAt != 0 && mayRenew(server, now)) {
         order.leaseEndMs = clockNow(server, now) + m_settings.maxLeaseUs / usPerMs;
-        server.leasesEndBy = now + static_cast<TimeUs>(static_cast<double>(m_settings.maxLeaseUs) / minClockRate)
-                + clockResolutionUs;
+        server.leasesEndBy = now + leaseBound(m_settings.maxLeaseUs);
     }
     server.sentAcknowledgedEnd = server.acknowledgedEnd;
     server.holdSequence = order.sequence;
@@ -295,9 +309,7 @@
     start.leaseEndMs = clockNow(server, now) + m_settings.maxLeaseUs / usPerMs;
     start.token = server.token;
     start.timeoutUs = answerTimeoutUs;
-    server.leasesEndBy = std::max(server.leasesEndBy,
-                                  now + static_cast<TimeUs>(static_cast<double>(m_settings.maxLeaseUs) / minClockRate)
-                                          + clockResolutionUs);
+    server.leasesEndBy = std::max(server.leasesEndBy, now + leaseBound(m_settings.maxLeaseUs));
     actions.push_back(std::move(start));
     if (server.holdSequence == 0)
         sendHold(now, server, true, holdWaitMs, actions);
@@ -352,6 +364,9 @@
     server.sentAcknowledgedEnd = 0;
     server.clockAt = 0;
     server.hasRestarted = true;
+    // Its clock is behind the lease ends of these orders, so none of them is too late for it.
+    for (UnconfirmedStart &start : server.unconfirmedStarts)
+        start.until = never;
     reportCrash(server, ended);
 }
 
@@ -568,6 +583,11 @@
     case OrderOutcome::Accepted:
         server.missingAnswers = 0;
         m_startDelay.learn(now - run.orderedAt, run.unansweredStarts);
+        if (event.clock && isBehind(server, *event.clock)) { // it has restarted
+            server.leasesEndBy = std::max(server.leasesEndBy, now + leaseBound(m_settings.maxLeaseUs));
+            if (server.stage == Stage::Usable)
+                sendHold(now, server, false, 0, actions);
+        }
         run.acceptedAt = std::min(run.acceptedAt, now);
         if (run.state == RunState::Starting)
             run.state = RunState::Running;
--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -177,6 +177,7 @@
     static void reportCrash(Server &server, std::vector<RunEndNotice> &ended);
     void recordRunEnd(TimeUs now, Server &server, const Run &run, RunEnd end);
     void readClock(Server &server, const ClockReading &reading);
+    bool isBehind(const Server &server, const ClockReading &reading) const;
     std::int64_t clockNow(const Server &server, TimeUs now) const;
     void onMissingAnswer(TimeUs now, Server &server, std::vector<Action> &actions, std::vector<RunEndNotice> &ended);
     void onOtherInstance(TimeUs now, Server &server, std::vector<Action> &actions, std::vector<RunEndNotice> &ended);
--- a/tests/unit/command/fleet_dispatcher_test.cpp
+++ b/tests/unit/command/fleet_dispatcher_test.cpp
@@ -273,6 +273,34 @@
     CHECK(world.answer(caller)->kind == Kind::Completed);
 }
 
+// Guards against a lease that a backend server which has restarted unnoticed counts from the arrival of a late start.
+TEST_CASE("a start that arrives late at a restarted backend server is not repeated while it runs")
+{
+    const TimeUs lateUs = GENERATE(30, 60, 100, 140) * usPerMs;
+    FleetWorld world({.zones = {{"a", 1, 2}}, .seed = 3});
+    world.start();
+    world.runFor(3 * usPerS);
+    world.drainServer(1, true);
+    world.crash(0);
+    world.reboot(0, 10 * usPerS);
+    world.runFor(300 * usPerMs);
+    world.setLostAnswers(1.0, lateUs);
+    world.submit(0, {.id = makeJobId(1), .workUs = 1200 * usPerMs, .budgetUs = 8 * usPerS, .path = "/l/"});
+    world.runFor(usPerMs);
+    world.setLostAnswers(0, 0);
+    world.drainServer(1, false);
+    // The late start arrives, and nothing after it.
+    world.runFor(usPerMs);
+    world.cutServer(0, 0, true);
+    world.runFor(lateUs - 3 * usPerMs);
+    world.cutServer(0, 0, false);
+    world.runFor(3 * usPerMs);
+    world.cutServer(0, 0, true);
+    world.runFor(3 * usPerS);
+    CHECK(world.startsOn(0) == 1);
+    CHECK(join(world.violations()).empty());
+}
+
 // Guards against answers of a backend server that are ignored as those of an earlier incarnation, while tasks are
 // started.
 TEST_CASE("a backend server whose time of day went back before its restart is asked and used")
