Set the clock of a backend server from its own incarnation only

What callers would see: two runs of a task, where leases on a restarted backend server have no bound.

Cause: the answer to a start or a stop names no incarnation. One of an earlier incarnation, handled after the registry entry of the new one, set the clock far ahead, and as the clock is only ever raised, for good.

Evidence: the new test of the commander failed on the parent (lease end 501007 instead of 2001 at most).

Change: the clock is set by lists first, which name the incarnation; other answers change it only within what it can have reached since.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -208,8 +208,18 @@
 
 // Orders --------------------------------------------------------------------------------------------
 
-void Commander::readClock(Server &server, const ClockReading &reading)
-{
+// Only lists name the incarnation. Other answers set no clock before the first lists, nor one that the clock of the
+// lists cannot have reached since: they may come from an earlier incarnation.
+void Commander::readClock(Server &server, const ClockReading &reading, bool isOfLists)
+{
+    if (isOfLists) {
+        server.listedClockMs = reading.serverMs;
+        server.listsSentAt = reading.sentAt;
+    } else if (server.clockAt == 0
+               || reading.serverMs > server.listedClockMs
+                               + (reading.receivedAt - server.listsSentAt + clockResolutionUs) / usPerMs) {
+        return;
+    }
     if (server.clockAt != 0 && clockNow(server, reading.receivedAt) >= reading.serverMs)
         return;
     server.clockMs = reading.serverMs;
@@ -479,7 +489,7 @@
         acceptIncarnation(server, event.incarnationStartMs, actions, ended);
         server.givenUpTasks.clear(); // it has not crashed
         if (event.clock)
-            readClock(server, *event.clock);
+            readClock(server, *event.clock, true);
         applyRunLists(now, server, event, sentAt, actions, ended);
         return;
     case OrderOutcome::Fenced:
@@ -567,7 +577,7 @@
         return;
     Server &server = m_servers[foundServer->second];
     if (event.clock && server.stage != Stage::Foreign)
-        readClock(server, *event.clock);
+        readClock(server, *event.clock, false);
     const auto found = m_runs.find(event.task);
     const bool isKnown =
             found != m_runs.end() && found->second.number == event.run && found->second.server == foundServer->second;
@@ -638,7 +648,7 @@
     if (server.stage == Stage::Foreign)
         return;
     if (event.clock)
-        readClock(server, *event.clock);
+        readClock(server, *event.clock, false);
     if (event.outcome == OrderOutcome::Accepted) {
         std::erase_if(server.unconfirmedStarts, [&](const UnconfirmedStart &start) {
             return start.task == event.task && start.run == event.run;
--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -159,6 +159,8 @@
         TimeUs leasesEndBy = 0;           // all leases have certainly expired by then
         std::int64_t clockMs = 0;         // lower bound of its clock at clockAt
         TimeUs clockAt = 0;               // 0: clock not known
+        std::int64_t listedClockMs = 0;   // its clock in the last lists
+        TimeUs listsSentAt = 0;           // when these were requested
         std::uint32_t missingAnswers = 0; // consecutive orders without an answer
         std::uint32_t failures = 0;       // consecutive failed or stalled runs
         TimeUs blockedUntil = 0;          // no starts before this time
@@ -176,7 +178,7 @@
     void giveUpRuns(TimeUs now, Server &server, TimeUs endsBy, std::vector<RunEndNotice> &ended);
     static void reportCrash(Server &server, std::vector<RunEndNotice> &ended);
     void recordRunEnd(TimeUs now, Server &server, const Run &run, RunEnd end);
-    void readClock(Server &server, const ClockReading &reading);
+    void readClock(Server &server, const ClockReading &reading, bool isOfLists);
     bool isBehind(const Server &server, const ClockReading &reading) const;
     std::int64_t clockNow(const Server &server, TimeUs now) const;
     void onMissingAnswer(TimeUs now, Server &server, std::vector<Action> &actions, std::vector<RunEndNotice> &ended);
--- a/tests/unit/command/commander_test.cpp
+++ b/tests/unit/command/commander_test.cpp
@@ -85,5 +85,25 @@
     }
 }
 
+// Guards against leases without an end: the clock of a restarted backend server starts anew.
+TEST_CASE("an answer of an earlier incarnation does not set the clock of the new one")
+{
+    SingleServer bench;
+    REQUIRE(bench.start("old"));
+    bench.now += 5 * usPerMs;
+    bench.entry.incarnationStartMs = 2000;
+    bench.commander.addServer(bench.now, bench.entry, bench.actions, bench.ended);
+    bench.startResult("old", OrderOutcome::Accepted, ClockReading{500006, bench.now, bench.now});
+    bench.now += 2 * usPerMs;
+    bench.answerHold(1000, 2000, {});
+    REQUIRE(bench.start("new"));
+    const std::int64_t leaseEndMs = pickAll<SendStart>(bench.actions).back().leaseEndMs;
+    CHECK(leaseEndMs <= 2001);
+    bench.now += 500 * usPerMs; // and it is not corrected by later answers
+    bench.answerHold(1500, 2000, {{{"new", 0}, 1}});
+    const SendHold hold = pickAll<SendHold>(bench.actions).back();
+    CHECK(hold.leaseEndMs.value_or(0) <= 2501);
+}
+
 } // namespace
 } // namespace clementinelift::command
