End a run whose start and stop had no answer when another commander takes over

What callers would see: less capacity, as a backend server that comes back to its earlier commander gets no tasks. Found by the review; by reading, a restart used to hide it.

Cause: after a rejected fencing token, runs without an answer were left to the results of their starts, also when these had come already. Such a run was in no list and never ended, and no lease is renewed beside a run that cannot be stopped.

Change: a run that is being stopped ends with the bound of its lease.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -514,9 +514,10 @@
                               concat("backend server rejected the fencing token server=", server.entry.id,
                                      " token=", server.token, " runs=", server.runs.size())});
     server.fencedToken = server.token;
-    // Starts without an answer so far are decided by their own results.
+    // Starts without an answer so far are decided by their own results, unless these have come and a stop was sent.
     for (const TaskId &task : std::vector<TaskId>(server.runs)) {
-        if (m_runs.find(task)->second.acceptedAt != never)
+        const Run &run = m_runs.find(task)->second;
+        if (run.acceptedAt != never || run.state == RunState::Stopping)
             endRun(now, task, RunEnd::Lost, std::max<TimeUs>(server.leasesEndBy - now, 0), ended);
     }
     server.stage = Stage::Fenced;
--- a/tests/unit/command/commander_test.cpp
+++ b/tests/unit/command/commander_test.cpp
@@ -105,5 +105,34 @@
     CHECK(hold.leaseEndMs.value_or(0) <= 2501);
 }
 
+// Guards against a backend server that gets no tasks because a run there never ends.
+TEST_CASE("a run whose start and stop had no answer before another commander took over ends")
+{
+    SingleServer bench;
+    REQUIRE(bench.start("a"));
+    const std::uint64_t hold = bench.lastHold();
+    bench.now += 150 * usPerMs;
+    bench.startResult("a", OrderOutcome::Unknown, std::nullopt);
+    bench.commander.onStopResult(bench.now, StopResult{"s-0", {"a", 0}, 1, OrderOutcome::Fenced, std::nullopt},
+                                 bench.actions);
+    HoldResult fenced;
+    fenced.server = "s-0";
+    fenced.sequence = hold;
+    fenced.outcome = OrderOutcome::Fenced;
+    bench.commander.onHoldResult(bench.now, fenced, bench.actions, bench.ended);
+    bench.now += 50 * usPerMs;
+    bench.commander.assignShards(bench.now, {2, 1, {0}}, bench.actions, bench.ended);
+    bench.now += usPerMs;
+    bench.answerHold(500250, 1000, {});
+    for (int i = 0; i < 100; ++i) { // 10 s
+        bench.now += 100 * usPerMs;
+        bench.commander.tick(bench.now, bench.actions, bench.ended);
+        if (pickAll<SendHold>(bench.actions).size() > 0)
+            bench.answerHold(500250 + (i + 1) * 100, 1000, {});
+    }
+    CHECK_FALSE(bench.commander.hasRuns());
+    CHECK(bench.start("b"));
+}
+
 } // namespace
 } // namespace clementinelift::command
