Remember disconnected callers in any order of their requests

What callers would see: work for a caller that has left. Found by the review by reading and by a test; the HTTP server of the callers has one I/O thread, so the order that it needs does not occur today.

Cause: callers that disconnected before their requests were handled were forgotten with the next request of a higher id, although an HTTP server with several threads may queue requests in another order.

Evidence: the new test fails with the earlier code, in which the job was started.

Change: the record keeps up to 2,000 callers, as many as there are connections, and drops the oldest.

--- a/packages/command/events.h
+++ b/packages/command/events.h
@@ -210,7 +210,7 @@
 
 struct CallerRequest
 {
-    CallerId caller{}; // increases with each request
+    CallerId caller{};
     Verb verb = Verb::Submit;
     std::string host;
     std::string path;
--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -23,6 +23,7 @@
 constexpr TimeUs notReadyRetryAfterUs = 1 * usPerS; // sent to callers before the configuration is known
 constexpr TimeUs shrunkRetryAfterUs = 1 * usPerS;   // sent while the backend servers have shrunk below the task
 constexpr TimeUs lapsedGraceUs = 2 * usPerS;        // entries that expired during a store outage return within this
+constexpr std::size_t maxGoneCallers = 2000;        // as many requests as connections may wait in the queue
 constexpr std::size_t idLength = 16;
 
 bool isJobId(std::string_view text)
@@ -291,9 +292,7 @@
 void FleetDispatcher::on(CallerRequest &request)
 {
     ++m_counters.requests;
-    const bool isGone = m_goneCallers.contains(request.caller);
-    m_goneCallers.erase(m_goneCallers.begin(), m_goneCallers.upper_bound(request.caller));
-    if (isGone) {
+    if (m_goneCallers.erase(request.caller) > 0) {
         ++m_counters.callersGone;
         logLine(false, "jobs",
                 concat("request ignored as its caller has disconnected path=", request.path.substr(0, 64)));
@@ -443,6 +442,14 @@
     m_dispatchNeeded = true;
 }
 
+// The oldest entry goes first: ids increase in about the order in which requests are handled.
+void FleetDispatcher::rememberGoneCaller(CallerId caller)
+{
+    m_goneCallers.insert(caller);
+    if (m_goneCallers.size() > maxGoneCallers)
+        m_goneCallers.erase(m_goneCallers.begin());
+}
+
 void FleetDispatcher::on(CallerGone &event)
 {
     const auto passed = m_forwardedByCaller.find(event.caller);
@@ -461,7 +468,7 @@
     if (found == m_callers.end()) {
         // Closed connections are found faster than queued requests are handled, above all after a pause.
         if (queuedRequests == 0 && !m_remoteCallers.contains(event.caller))
-            m_goneCallers.insert(event.caller);
+            rememberGoneCaller(event.caller);
         return;
     }
     ++m_counters.callersGone;
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -221,6 +221,7 @@
 
     // Callers
     void processRequest(CallerRequest &request);
+    void rememberGoneCaller(CallerId caller);
     void submit(CallerRequest &request, const Route &route, std::string_view id);
     void send(AnswerCaller &&answer);
     std::string_view findUnservable(const JobRequest &request, const Route &route) const;
--- a/tests/unit/command/fleet_dispatcher_test.cpp
+++ b/tests/unit/command/fleet_dispatcher_test.cpp
@@ -188,6 +188,27 @@
     CHECK(world.answer(again)->kind == Kind::Completed);
 }
 
+// Guards against an end of a connection that is forgotten when a later request is handled first.
+TEST_CASE("a request whose caller has disconnected is ignored in any order of requests")
+{
+    FleetWorld world({.zones = {{"a", 1, 2}}});
+    world.start();
+    CallerRequest request;
+    request.host = "shop.example";
+    request.path = "/q/" + makeJobId(1);
+    request.budgetUs = 5 * usPerS;
+    request.job = JobRequest{"", {{1, {14000, 64, 0}, 500 * usPerMs, {}, {}}}, true, {}};
+    CallerRequest later;
+    later.caller = CallerId{1008};
+    later.verb = Verb::Query;
+    later.path = request.path;
+    request.caller = CallerId{1007};
+    world.deliver(0, CallerGone{request.caller});
+    world.deliver(0, std::move(later));
+    world.deliver(0, std::move(request));
+    CHECK(world.core(0).jobCount() == 0);
+}
+
 TEST_CASE("the backend servers of a failed entry VM are usable again within 2 s")
 {
     FleetWorld world({.zones = {{"a", 2, 6}}});
