Ask an idle backend server before a start

What callers would see: two runs of a task, where an idle backend server has restarted unnoticed and carries out a start seconds late; and jobs given up for a run that was lost with an idle backend server which had crashed before.

Cause: the lease end of a start is a time on the clock of the incarnation that the commander knows. The clock of a new one is behind, so no order is late for it. Without runs no hold is open, and nothing tells of a restart or a crash.

Change: a start for a backend server without an open hold is kept until a hold is answered, one round trip later; if it is not, the task goes to another one at once, as it was never sent.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -178,6 +178,7 @@
 // Reports all runs of a backend server as lost; all of them have certainly ended by endsBy.
 void Commander::abandonRuns(TimeUs now, Server &server, TimeUs endsBy, std::vector<RunEndNotice> &ended)
 {
+    dropHeldStarts(now, server, ended);
     const std::vector<TaskId> runs = std::move(server.runs);
     server.runs.clear();
     for (const TaskId &task : runs) {
@@ -195,6 +196,7 @@
 // As abandonRuns(), for a backend server that may have crashed.
 void Commander::giveUpRuns(TimeUs now, Server &server, TimeUs endsBy, std::vector<RunEndNotice> &ended)
 {
+    dropHeldStarts(now, server, ended);
     server.givenUpTasks.insert(server.givenUpTasks.end(), server.runs.begin(), server.runs.end());
     abandonRuns(now, server, endsBy, ended);
 }
@@ -301,11 +303,8 @@
     run.server = found->second;
     run.number = item.run;
     run.resources = order.taskResources;
-    run.orderedAt = now;
     run.expectedUs = order.expectedUs;
-    run.unansweredStarts = m_startDelay.onSent();
-    run.leavesAt = now + m_startDelay.queuedUs();
-    m_runs.emplace(task, std::move(run));
+    Run &kept = m_runs.emplace(task, std::move(run)).first->second;
     server.used += order.taskResources;
     server.runs.push_back(task);
     ++m_capacityVersion;
@@ -316,16 +315,57 @@
     start.task = task;
     start.run = item.run;
     start.spec = order.spec;
-    start.leaseEndMs = clockNow(server, now) + m_settings.maxLeaseUs / usPerMs;
     start.token = server.token;
     start.timeoutUs = answerTimeoutUs;
-    server.leasesEndBy = std::max(server.leasesEndBy, now + leaseBound(m_settings.maxLeaseUs));
-    actions.push_back(std::move(start));
-    if (server.holdSequence == 0)
-        sendHold(now, server, true, holdWaitMs, actions);
+    // Without an open hold a restart or a crash goes unnoticed, and the lease end of a start means nothing to the clock
+    // of another incarnation. Such a backend server is asked first.
+    const bool isHoldOpen = server.holdSequence != 0;
+    if (isHoldOpen && server.heldStarts.empty()) {
+        sendStart(now, server, kept, std::move(start), actions);
+        return true;
+    }
+    kept.state = RunState::Held;
+    server.heldStarts.push_back(std::move(start));
+    if (!isHoldOpen)
+        sendHold(now, server, false, 0, actions);
     return true;
 }
 
+void Commander::sendStart(TimeUs now, Server &server, Run &run, SendStart &&order, std::vector<Action> &actions)
+{
+    run.state = RunState::Starting;
+    run.orderedAt = now;
+    run.unansweredStarts = m_startDelay.onSent();
+    run.leavesAt = now + m_startDelay.queuedUs();
+    order.leaseEndMs = clockNow(server, now) + m_settings.maxLeaseUs / usPerMs;
+    server.leasesEndBy = std::max(server.leasesEndBy, now + leaseBound(m_settings.maxLeaseUs));
+    actions.push_back(std::move(order));
+}
+
+void Commander::releaseHeldStarts(TimeUs now, Server &server, std::vector<Action> &actions,
+                                  std::vector<RunEndNotice> &ended)
+{
+    const bool isStartable = canStart(server, now);
+    for (SendStart &order : std::exchange(server.heldStarts, {})) {
+        const auto found = m_runs.find(order.task);
+        if (found == m_runs.end() || found->second.number != order.run)
+            continue;
+        if (isStartable && found->second.state == RunState::Held)
+            sendStart(now, server, found->second, std::move(order), actions);
+        else
+            endRun(now, order.task, RunEnd::NotAsked, 0, ended);
+    }
+}
+
+void Commander::dropHeldStarts(TimeUs now, Server &server, std::vector<RunEndNotice> &ended)
+{
+    for (const SendStart &order : std::exchange(server.heldStarts, {})) {
+        const auto found = m_runs.find(order.task);
+        if (found != m_runs.end() && found->second.number == order.run)
+            endRun(now, order.task, RunEnd::NotAsked, 0, ended);
+    }
+}
+
 // Ends ----------------------------------------------------------------------------------------------
 
 void Commander::endRun(TimeUs, const TaskId &task, RunEnd end, TimeUs maxRemainingUs, std::vector<RunEndNotice> &ended)
@@ -463,6 +503,7 @@
         server.stage = Stage::Usable;
         ++m_capacityVersion;
     }
+    releaseHeldStarts(now, server, actions, ended);
     if (!server.runs.empty() || server.acknowledgedEnd > server.sentAcknowledgedEnd)
         sendHold(now, server, !server.runs.empty(), holdWaitMs, actions);
     else if (server.handingOver || !server.listed)
@@ -499,6 +540,7 @@
         onOtherInstance(now, server, actions, ended);
         return;
     case OrderOutcome::Unhealthy:
+        dropHeldStarts(now, server, ended);
         server.blockedUntil = std::max(server.blockedUntil, now + unhealthyBlockUs);
         server.nextProbeAt = now + minProbeIntervalUs;
         ++m_capacityVersion;
@@ -514,6 +556,7 @@
                               concat("backend server rejected the fencing token server=", server.entry.id,
                                      " token=", server.token, " runs=", server.runs.size())});
     server.fencedToken = server.token;
+    dropHeldStarts(now, server, ended);
     // Starts without an answer so far are decided by their own results, unless these have come and a stop was sent.
     for (const TaskId &task : std::vector<TaskId>(server.runs)) {
         const Run &run = m_runs.find(task)->second;
@@ -550,6 +593,10 @@
     // A claimed backend server has runs when it has restarted: they may be of its new incarnation.
     const bool mayHaveRuns = server.stage == Stage::Usable || (server.stage == Stage::Claiming && !server.runs.empty());
     if (mayHaveRuns && server.missingAnswers < 2) {
+        if (!server.heldStarts.empty()) { // other backend servers take these tasks meanwhile
+            dropHeldStarts(now, server, ended);
+            server.blockedUntil = std::max(server.blockedUntil, now + unhealthyBlockUs);
+        }
         if (server.holdSequence == 0)
             sendHold(now, server, server.stage == Stage::Usable && !server.runs.empty(), 0, actions);
         return;
--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -109,7 +109,7 @@
     std::uint64_t capacityVersion() const { return m_capacityVersion; } // increases when capacities() may have changed
 
 private:
-    enum class RunState : std::uint8_t { Starting, Running, Stopping };
+    enum class RunState : std::uint8_t { Held, Starting, Running, Stopping };
     struct Run
     {
         std::string coordinator;
@@ -137,7 +137,8 @@
     {
         ServerEntry entry;
         std::vector<UnconfirmedStart> unconfirmedStarts;
-        std::vector<TaskId> givenUpTasks; // without an answer; whether it has crashed under them shows later
+        std::vector<SendStart> heldStarts; // sent once the backend server has listed its runs
+        std::vector<TaskId> givenUpTasks;  // without an answer; whether it has crashed under them shows later
         Stage stage = Stage::Foreign;
         bool listed = false;
         bool handingOver = false;  // its shard is assigned to another entry VM
@@ -172,6 +173,9 @@
     void stopCommanding(TimeUs now, Server &server, std::vector<RunEndNotice> &ended);
     void abandonRuns(TimeUs now, Server &server, TimeUs endsBy, std::vector<RunEndNotice> &ended);
     void sendHold(TimeUs now, Server &server, bool withLease, std::int64_t waitMs, std::vector<Action> &actions);
+    void sendStart(TimeUs now, Server &server, Run &run, SendStart &&order, std::vector<Action> &actions);
+    void releaseHeldStarts(TimeUs now, Server &server, std::vector<Action> &actions, std::vector<RunEndNotice> &ended);
+    void dropHeldStarts(TimeUs now, Server &server, std::vector<RunEndNotice> &ended);
     void sendStop(TimeUs now, const Server &server, const TaskId &task, RunNumber run, std::vector<Action> &actions);
     void stopRun(TimeUs now, const TaskId &task, Run &run, std::vector<Action> &actions);
     void endRun(TimeUs now, const TaskId &task, RunEnd end, TimeUs maxRemainingUs, std::vector<RunEndNotice> &ended);
--- a/tests/unit/command/fleet_dispatcher_test.cpp
+++ b/tests/unit/command/fleet_dispatcher_test.cpp
@@ -302,9 +302,11 @@
     world.start();
     world.runFor(3 * usPerS);
     world.drainServer(1, true);
+    world.submit(0, {.id = makeJobId(2), .workUs = 20 * usPerMs});
+    world.runFor(30 * usPerMs); // a hold is still open
     world.crash(0);
     world.reboot(0, 10 * usPerS);
-    world.runFor(300 * usPerMs);
+    world.runFor(20 * usPerMs);
     world.setLostAnswers(1.0, lateUs);
     world.submit(0, {.id = makeJobId(1), .workUs = 1200 * usPerMs, .budgetUs = 8 * usPerS, .path = "/l/"});
     world.runFor(usPerMs);
@@ -318,10 +320,47 @@
     world.runFor(3 * usPerMs);
     world.cutServer(0, 0, true);
     world.runFor(3 * usPerS);
-    CHECK(world.startsOn(0) == 1);
+    CHECK(world.startsOn(0) == 2);
     CHECK(join(world.violations()).empty());
 }
 
+// Guards against two runs when an idle backend server restarts: its new clock takes no late start for late.
+TEST_CASE("a start that a restarted backend server carries out seconds late does not overlap with the next one")
+{
+    FleetWorld world({.zones = {{"a", 1, 2}}, .seed = 3});
+    world.start();
+    world.runFor(3 * usPerS);
+    world.drainServer(1, true);
+    world.crash(0);
+    world.reboot(0, 10 * usPerS);
+    world.runFor(300 * usPerMs);
+    world.setLostAnswers(1.0, 1600 * usPerMs);
+    world.submit(0, {.id = makeJobId(1), .workUs = 1200 * usPerMs, .budgetUs = 8 * usPerS, .path = "/l/"});
+    world.runFor(usPerMs);
+    world.setLostAnswers(0, 0);
+    world.drainServer(1, false);
+    world.runFor(2 * usPerMs);
+    world.cutServer(0, 0, true);
+    world.runFor(1200 * usPerMs);
+    world.cutServer(0, 0, false);
+    world.runFor(4 * usPerS);
+    CHECK(join(world.violations()).empty());
+}
+
+// Guards against jobs that are given up with an idle backend server that has crashed unnoticed.
+TEST_CASE("a task that meets a crashed idle backend server is placed on another one at once")
+{
+    FleetWorld world({.zones = {{"a", 1, 2}}});
+    world.start();
+    world.runFor(2 * usPerS);
+    world.crash(1, true);
+    const CallerId caller = world.submit(0, {.id = makeJobId(1), .tasks = 2});
+    world.runFor(500 * usPerMs);
+    REQUIRE(world.answer(caller) != nullptr);
+    CHECK(world.answer(caller)->kind == Kind::Completed);
+    CHECK(world.answer(caller)->afterUs < 100 * usPerMs);
+}
+
 // Guards against answers of a backend server that are ignored as those of an earlier incarnation, while tasks are
 // started.
 TEST_CASE("a backend server whose time of day went back before its restart is asked and used")
--- a/tests/unit/command/fleet_resubmission_fuzz_test.cpp
+++ b/tests/unit/command/fleet_resubmission_fuzz_test.cpp
@@ -18,13 +18,14 @@
 class ResubmissionRun
 {
 public:
-    explicit ResubmissionRun(std::uint64_t seed)
+    // With late restarts, a crashed backend server is back within 50 ms, carries orders out late, and is cut off.
+    explicit ResubmissionRun(std::uint64_t seed, bool hasLateRestarts = false)
         : m_world({.zones = makeZones(seed),
                    .speeds = {0.7, 0.7, 1.7},
                    .sizes = {1.0, 1.0, 1.5},
                    .seed = seed,
                    .trace = std::getenv("FLEET_FUZZ_TRACE") != nullptr}),
-          m_load(seed % 5 == 0 ? 0.1 : 0.5)
+          m_load(seed % 5 == 0 ? 0.1 : 0.5), m_hasLateRestarts(hasLateRestarts)
     {
         m_world.onAnswer([this](CallerId caller, const FleetWorld::Answered &answer) {
             const auto found = m_attempts.find(caller);
@@ -188,6 +189,10 @@
             if (!m_world.server(server).up)
                 break;
             m_world.crash(server);
+            if (m_hasLateRestarts) {
+                m_world.after((1 + pick(50)) * usPerMs, [this, server] { restartLate(server); });
+                break;
+            }
             m_world.after(duration, [this, server] { m_world.reboot(server, pick(2000) * usPerMs); });
             break;
         case 11:
@@ -207,21 +212,38 @@
         }
     }
 
+    void restartLate(int server)
+    {
+        m_world.reboot(server, pick(2000) * usPerMs);
+        m_world.setLostAnswers(0.3, pick(3000) * usPerMs);
+        m_world.after(500 * usPerMs, [this] { m_world.setLostAnswers(0, 0); });
+        m_world.after((1 + pick(400)) * usPerMs, [this, server] {
+            cutFromAll(server, true);
+            m_world.after((200 + pick(1500)) * usPerMs, [this, server] { cutFromAll(server, false); });
+        });
+    }
+    void cutFromAll(int server, bool cut)
+    {
+        for (int node = 0; node < m_world.nodeCount(); ++node)
+            m_world.cutServer(node, server, cut);
+    }
+
     FleetWorld m_world;
     double m_load = 0.5;
+    bool m_hasLateRestarts = false;
     std::uint64_t m_lastJob = 0;
     std::map<CallerId, Attempt> m_attempts;
 };
 
 // FLEET_FUZZ_SEEDS=FIRST,COUNT runs other seeds; FLEET_FUZZ_TRACE=1 prints log lines and runs.
-TEST_CASE("random faults and callers that submit jobs again cause no overlapping runs")
+void runSeeds(bool hasLateRestarts)
 {
     std::uint64_t first = 1;
     std::uint64_t runs = 100;
     if (const char *seeds = std::getenv("FLEET_FUZZ_SEEDS"))
         std::sscanf(seeds, "%lu,%lu", &first, &runs);
     for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-        ResubmissionRun run(seed);
+        ResubmissionRun run(seed, hasLateRestarts);
         run.simulate();
         INFO("seed " << seed << " " << join(run.world().violations()));
         CHECK(join(run.world().violations()).empty());
@@ -229,5 +251,15 @@
     }
 }
 
+TEST_CASE("random faults and callers that submit jobs again cause no overlapping runs")
+{
+    runSeeds(false);
+}
+
+TEST_CASE("random restarts of backend servers with late orders cause no overlapping runs")
+{
+    runSeeds(true);
+}
+
 } // namespace
 } // namespace clementinelift::command
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -192,6 +192,8 @@
         ++node.incarnation;
         std::erase_if(m_heldMessages,
                       [&](const auto &held) { return held.first.first == index || held.first.second == index; });
+        for (int other = 0; other < nodeCount(); ++other) // what is on its way is lost with the link
+            ++m_linkGenerations[{std::min(index, other), std::max(index, other)}];
         after(1300 * usPerMs, [this, zone = node.zone] { assignShards(zone); });
     }
     void kill(int index)
