--- /dev/null
+++ b/packages/command/commander_limits.h
@@ -0,0 +1,20 @@
+// Limits that the sources of the commander share.
+#pragma once
+
+#include "command/types.h"
+
+namespace clementinelift::command::detail {
+
+constexpr double minClockRate = 0.98;                // the clock of a backend server may be 2% slow
+constexpr TimeUs clockResolutionUs = 2 * usPerMs;    // clocks are reported in whole milliseconds
+constexpr TimeUs minProbeIntervalUs = 100 * usPerMs; // between holds to a backend server that does not answer
+constexpr TimeUs maxProbeIntervalUs = 800 * usPerMs; // the same, after several missing answers
+constexpr TimeUs unhealthyBlockUs = 150 * usPerMs;   // after the answer "unhealthy"
+
+// Longest time that a lease lasts on the clock of this entry VM.
+constexpr TimeUs leaseBound(TimeUs leaseUs)
+{
+    return static_cast<TimeUs>(static_cast<double>(leaseUs) / minClockRate) + clockResolutionUs;
+}
+
+} // namespace clementinelift::command::detail
--- a/packages/command/types.h
+++ b/packages/command/types.h
@@ -36,7 +36,12 @@
     std::int64_t memoryMb = 0;     // MiB
     std::int64_t accelerators = 0; // whole devices
 
-    auto operator<=>(const Resources &) const = default; // lexicographic, for keys
+    bool operator==(const Resources &) const = default;
+    bool operator<(const Resources &other) const // lexicographic, for keys
+    {
+        return std::tie(milliCores, memoryMb, accelerators)
+                < std::tie(other.milliCores, other.memoryMb, other.accelerators);
+    }
 
     Resources &operator+=(const Resources &other)
     {
--- a/tests/unit/command/commander_test.cpp
+++ b/tests/unit/command/commander_test.cpp
@@ -67,20 +67,20 @@
 // Guards against two runs when an order to the earlier address of a backend server is rejected after it has moved.
 TEST_CASE("a rejected order to an earlier address ends no run at the new one")
 {
-    SingleServer bench;
-    REQUIRE(bench.start("old"));
-    bench.now += 5 * usPerMs;
-    bench.entry.address = "10.0.0.2:80";
-    bench.entry.incarnationStartMs = 2000;
-    bench.commander.addServer(bench.now, bench.entry, bench.actions, bench.ended);
-    bench.now += 2 * usPerMs;
-    bench.answerHold(1000, 2000, {});
-    REQUIRE(bench.start("new"));
-    bench.now += 2 * usPerMs;
-    bench.startResult("new", OrderOutcome::Accepted, ClockReading{1004, bench.now, bench.now});
-    bench.ended.clear();
-    bench.startResult("old", OrderOutcome::OtherInstance, std::nullopt);
-    for (const RunEndNotice &end : bench.ended) {
+    SingleServer fixture;
+    REQUIRE(fixture.start("old"));
+    fixture.now += 5 * usPerMs;
+    fixture.entry.address = "10.0.0.2:80";
+    fixture.entry.incarnationStartMs = 2000;
+    fixture.commander.addServer(fixture.now, fixture.entry, fixture.actions, fixture.ended);
+    fixture.now += 2 * usPerMs;
+    fixture.answerHold(1000, 2000, {});
+    REQUIRE(fixture.start("new"));
+    fixture.now += 2 * usPerMs;
+    fixture.startResult("new", OrderOutcome::Accepted, ClockReading{1004, fixture.now, fixture.now});
+    fixture.ended.clear();
+    fixture.startResult("old", OrderOutcome::OtherInstance, std::nullopt);
+    for (const RunEndNotice &end : fixture.ended) {
         CHECK(end.ended.task.job == "old");
     }
 }
@@ -88,50 +88,50 @@
 // Guards against leases without an end: the clock of a restarted backend server starts anew.
 TEST_CASE("an answer of an earlier incarnation does not set the clock of the new one")
 {
-    SingleServer bench;
-    REQUIRE(bench.start("old"));
-    bench.now += 5 * usPerMs;
-    bench.entry.incarnationStartMs = 2000;
-    bench.commander.addServer(bench.now, bench.entry, bench.actions, bench.ended);
-    bench.startResult("old", OrderOutcome::Accepted, ClockReading{500006, bench.now, bench.now});
-    bench.now += 2 * usPerMs;
-    bench.answerHold(1000, 2000, {});
-    REQUIRE(bench.start("new"));
-    const std::int64_t leaseEndMs = pickAll<SendStart>(bench.actions).back().leaseEndMs;
+    SingleServer fixture;
+    REQUIRE(fixture.start("old"));
+    fixture.now += 5 * usPerMs;
+    fixture.entry.incarnationStartMs = 2000;
+    fixture.commander.addServer(fixture.now, fixture.entry, fixture.actions, fixture.ended);
+    fixture.startResult("old", OrderOutcome::Accepted, ClockReading{500006, fixture.now, fixture.now});
+    fixture.now += 2 * usPerMs;
+    fixture.answerHold(1000, 2000, {});
+    REQUIRE(fixture.start("new"));
+    const std::int64_t leaseEndMs = pickAll<SendStart>(fixture.actions).back().leaseEndMs;
     CHECK(leaseEndMs <= 2001);
-    bench.now += 500 * usPerMs; // and it is not corrected by later answers
-    bench.answerHold(1500, 2000, {{{"new", 0}, 1}});
-    const SendHold hold = pickAll<SendHold>(bench.actions).back();
+    fixture.now += 500 * usPerMs; // and it is not corrected by later answers
+    fixture.answerHold(1500, 2000, {{{"new", 0}, 1}});
+    const SendHold hold = pickAll<SendHold>(fixture.actions).back();
     CHECK(hold.leaseEndMs.value_or(0) <= 2501);
 }
 
 // Guards against a backend server that gets no tasks because a run there never ends.
 TEST_CASE("a run whose start and stop had no answer before another commander took over ends")
 {
-    SingleServer bench;
-    REQUIRE(bench.start("a"));
-    const std::uint64_t hold = bench.lastHold();
-    bench.now += 150 * usPerMs;
-    bench.startResult("a", OrderOutcome::Unknown, std::nullopt);
-    bench.commander.onStopResult(bench.now, StopResult{"s-0", {"a", 0}, 1, OrderOutcome::Fenced, std::nullopt},
-                                 bench.actions);
+    SingleServer fixture;
+    REQUIRE(fixture.start("a"));
+    const std::uint64_t hold = fixture.lastHold();
+    fixture.now += 150 * usPerMs;
+    fixture.startResult("a", OrderOutcome::Unknown, std::nullopt);
+    fixture.commander.onStopResult(fixture.now, StopResult{"s-0", {"a", 0}, 1, OrderOutcome::Fenced, std::nullopt},
+                                   fixture.actions);
     HoldResult fenced;
     fenced.server = "s-0";
     fenced.sequence = hold;
     fenced.outcome = OrderOutcome::Fenced;
-    bench.commander.onHoldResult(bench.now, fenced, bench.actions, bench.ended);
-    bench.now += 50 * usPerMs;
-    bench.commander.assignShards(bench.now, {2, 1, {0}}, bench.actions, bench.ended);
-    bench.now += usPerMs;
-    bench.answerHold(500250, 1000, {});
+    fixture.commander.onHoldResult(fixture.now, fenced, fixture.actions, fixture.ended);
+    fixture.now += 50 * usPerMs;
+    fixture.commander.assignShards(fixture.now, {2, 1, {0}}, fixture.actions, fixture.ended);
+    fixture.now += usPerMs;
+    fixture.answerHold(500250, 1000, {});
     for (int i = 0; i < 100; ++i) { // 10 s
-        bench.now += 100 * usPerMs;
-        bench.commander.tick(bench.now, bench.actions, bench.ended);
-        if (pickAll<SendHold>(bench.actions).size() > 0)
-            bench.answerHold(500250 + (i + 1) * 100, 1000, {});
+        fixture.now += 100 * usPerMs;
+        fixture.commander.tick(fixture.now, fixture.actions, fixture.ended);
+        if (!pickAll<SendHold>(fixture.actions).empty())
+            fixture.answerHold(500250 + (i + 1) * 100, 1000, {});
     }
-    CHECK_FALSE(bench.commander.hasRuns());
-    CHECK(bench.start("b"));
+    CHECK_FALSE(fixture.commander.hasRuns());
+    CHECK(fixture.start("b"));
 }
 
 } // namespace
