Bound the backend servers that a task takes down silently

What callers see: one crash after the other, where backend servers disappear without a refused connection.

Cause: a crash was counted at the restart only, and forgotten with the registry entry.

A job is given up with the third run of a task that is lost with its backend server.

--- a/packages/command/crash_record.h
+++ b/packages/command/crash_record.h
@@ -15,6 +15,8 @@
 namespace clementinelift::command {
 
 constexpr std::uint32_t maxCrashes = 2; // under one task, which is not started again after that
+// Runs of a task that are lost with backend servers of which nothing is known, before its job is given up.
+constexpr std::uint32_t maxLosses = 3;
 
 struct CrashCount
 {
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -253,7 +253,7 @@
     void rememberEndingRuns(const Job &job);
     void blockEndingTasks(Job &job);
     void onEndingRun(const std::string &node, const TaskEnded &ended);
-    void onTaskEnded(const std::string &node, const TaskEnded &ended);
+    void onTaskEnded(const std::string &node, const TaskEnded &ended, bool isPeerLost = false);
     void deliverRunEnds();
     void onCrash(const TaskId &task, std::string_view server);
     void setCrashes(const TaskId &task, std::uint32_t count);
--- a/packages/command/fleet_placing.cpp
+++ b/packages/command/fleet_placing.cpp
@@ -325,7 +325,7 @@
         failJob(found->second, crashedBackendServers);
 }
 
-void FleetDispatcher::onTaskEnded(const std::string &node, const TaskEnded &ended)
+void FleetDispatcher::onTaskEnded(const std::string &node, const TaskEnded &ended, bool isPeerLost)
 {
     onEndingRun(node, ended);
     const auto found = m_jobs.find(ended.task.job);
@@ -366,7 +366,8 @@
                    " due_in_ms=", (job.dueAt - m_now) / usPerMs));
     if (task.state == TaskState::Blocked && ended.maxRemainingUs > 0)
         task.retryAt = std::min(task.retryAt, m_now + ended.maxRemainingUs);
-    if (m_now + ended.maxRemainingUs + job.workUs > job.lastUsefulAt) {
+    task.losses += ended.end == RunEnd::Lost && !isPeerLost ? 1 : 0;
+    if (task.losses >= maxLosses || m_now + ended.maxRemainingUs + job.workUs > job.lastUsefulAt) {
         giveUpJob(job, ended.end == RunEnd::Lost ? "run_lost" : "too_late_to_repeat");
     } else if (ended.maxRemainingUs > 0) {
         task.state = TaskState::Blocked;
@@ -489,7 +490,7 @@
             lost.push_back({task, run.run, RunEnd::Lost, lostPeerRunLimitUs, ""});
     }
     for (const TaskEnded &end : lost)
-        onTaskEnded(node, end);
+        onTaskEnded(node, end, true);
 }
 
 } // namespace clementinelift::command
--- a/packages/command/job.h
+++ b/packages/command/job.h
@@ -22,6 +22,7 @@
     TaskState state = TaskState::Waiting;
     RunNumber run = 0; // of the last order
     std::uint32_t failures = 0;
+    std::uint32_t losses = 0;  // runs lost with their backend server
     std::uint32_t crashes = 0; // of backend servers under the task; it needs one of its own when there are any
     bool stopping = false;     // Placed: overdue, a stop of the run was requested
     std::string server;        // Placed
