Count no planned exit of a backend server as a crash

What callers see: the final answer "failed" for a sound job, whose task was twice still at work when its draining backend server exited.

Cause: a refused connection counted as a crash, whatever the registry said of the backend server.

Evidence: the new test fails on the parent (failed instead of completed).

Change: runs on a backend server that is draining or no longer registered count as lost, not as crashed. A count that arrives after the task is done does not fail its job.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -191,7 +191,8 @@
 void Commander::giveUpRuns(TimeUs now, Server &server, TimeUs endsBy, std::vector<RunEndNotice> &ended)
 {
     dropHeldStarts(now, server, ended);
-    server.givenUpTasks.insert(server.givenUpTasks.end(), server.runs.begin(), server.runs.end());
+    if (server.listed && !server.entry.draining) // a planned exit ends its runs as well
+        server.givenUpTasks.insert(server.givenUpTasks.end(), server.runs.begin(), server.runs.end());
     abandonRuns(now, server, endsBy, ended);
 }
 
--- a/packages/command/fleet_placing.cpp
+++ b/packages/command/fleet_placing.cpp
@@ -320,8 +320,9 @@
     const auto found = m_jobs.find(task.job);
     if (found == m_jobs.end() || task.index >= found->second.tasks.size())
         return;
-    found->second.tasks[task.index].crashes = count;
-    if (count >= maxCrashes)
+    Task &crashed = found->second.tasks[task.index];
+    crashed.crashes = count;
+    if (count >= maxCrashes && crashed.state != TaskState::Done)
         failJob(found->second, crashedBackendServers);
 }
 
--- a/tests/unit/command/crash_test.cpp
+++ b/tests/unit/command/crash_test.cpp
@@ -122,6 +122,30 @@
     CHECK(join(world.violations()).empty());
 }
 
+// Guards against the answer "failed" for a job whose backend servers leave as planned while its task is still at work.
+TEST_CASE("a backend server that exits after its drain has not crashed")
+{
+    FleetWorld world({.zones = {{"a", 2, 6}}});
+    world.start();
+    const WorldJob job{.id = makeJobId(1), .workUs = 1500 * usPerMs, .budgetUs = 30 * usPerS, .path = "/l/"};
+    const CallerId caller = world.submit(0, job);
+    for (std::uint64_t starts = 1; starts <= 2; ++starts) {
+        while (world.startsOf(job.id) < starts && world.now() < 10 * usPerS)
+            world.runFor(10 * usPerMs);
+        for (int server = 0; server < world.serverCount(); ++server) {
+            if (world.server(server).runs.empty())
+                continue;
+            world.drainServer(server, true);
+            world.runFor(800 * usPerMs);
+            world.crash(server, true);
+            world.delist(server);
+        }
+    }
+    world.runFor(10 * usPerS);
+    REQUIRE(world.answer(caller) != nullptr);
+    CHECK(world.answer(caller)->kind == Kind::Completed);
+}
+
 // Guards against a crash count for backend servers that were only cut off.
 TEST_CASE("a job whose backend servers are cut off twice is not failed")
 {
