Let a late job with a crash share a backend server

What callers see: sound jobs given up under load after one ordinary crash.

Cause: a task with a crash was started on an idle backend server only, and nothing kept one idle for it.

Change: an idle backend server is preferred; once the job is late and none is idle, its task shares one. The second crash still ends the job.

--- a/packages/command/crash_record.h
+++ b/packages/command/crash_record.h
@@ -1,9 +1,10 @@
 // Tasks under which backend servers have crashed.
 //
 // Meant for tasks that crash each backend server that starts them. Nothing tells which of several tasks on a crashed
-// backend server was the cause, so the crash counts for all of them. A task with a crash is started again only on a
-// backend server of its own, so that a second crash has one possible cause and no other task is lost. As callers may
-// submit a job again at any entry VM, entry VMs report the counts to each other.
+// backend server was the cause, so the crash counts for all of them. A task with a crash is started again on a backend
+// server of its own, so that a second crash has one possible cause and no other task is lost; only when its job is late
+// and no backend server is idle, it shares one. As callers may submit a job again at any entry VM, entry VMs report the
+// counts to each other.
 #pragma once
 
 #include "command/types.h"
--- a/packages/command/fleet_placing.cpp
+++ b/packages/command/fleet_placing.cpp
@@ -151,14 +151,19 @@
             continue;
         const TimeUs longestUs = runTimeLimit(job, m_now, othersWait);
         const bool hasCrashes = job.tasks[index].crashes > 0;
-        const auto place =
-                choosePlace(m_candidates, m_link, {job.service, job.taskResources, job.workUs, longestUs, hasCrashes});
+        PlacingTask wanted{job.service, job.taskResources, job.workUs, longestUs, hasCrashes};
+        auto place = choosePlace(m_candidates, m_link, wanted);
+        const bool isShared = !place && hasCrashes && m_now > job.latestStart();
+        if (isShared) { // a late job waits no longer for an idle backend server
+            wanted.needsWholeServer = false;
+            place = choosePlace(m_candidates, m_link, wanted);
+        }
         if (!place && hasCrashes)
             continue;
         if (!place)
             break;
-        // The whole backend server is reserved for a task with crashes.
-        const Resources reserved = hasCrashes ? m_candidates[*place].total : job.taskResources;
+        // Otherwise the whole backend server is reserved for a task with crashes.
+        const Resources reserved = hasCrashes && !isShared ? m_candidates[*place].total : job.taskResources;
         placed.push_back({index, *place, reserved, expectStart(m_candidates[*place], m_link)});
         addTask(m_candidates, *place, reserved, m_link);
     }
--- a/tests/unit/command/crash_test.cpp
+++ b/tests/unit/command/crash_test.cpp
@@ -146,6 +146,35 @@
     CHECK(world.answer(caller)->kind == Kind::Completed);
 }
 
+// Guards against jobs that wait in vain for an idle backend server after an ordinary crash under load.
+TEST_CASE("a job that has lost a run is completed although no backend server is idle")
+{
+    FleetWorld world({.zones = {{"a", 2, 6}}});
+    world.start();
+    std::uint64_t number = 1000;
+    const auto submitOther = [&] {
+        ++number;
+        world.submit(static_cast<int>(number % 2),
+                     {.id = makeJobId(number), .workUs = 200 * usPerMs, .budgetUs = 2 * usPerS});
+        world.runFor(24 * usPerMs); // 0.83 of the places of five backend servers are in use
+    };
+    while (number < 1040)
+        submitOther();
+    const WorldJob job{.id = makeJobId(1), .tasks = 2, .workUs = 200 * usPerMs, .budgetUs = 8 * usPerS, .path = "/l/"};
+    const CallerId caller = world.submit(0, job);
+    while (world.startsOf(job.id) < 2 && world.now() < 10 * usPerS)
+        world.runFor(usPerMs);
+    world.runFor(20 * usPerMs);
+    for (int server = 0; server < world.serverCount(); ++server) {
+        if (world.server(server).runs.contains({job.id, 0}))
+            world.crash(server, true);
+    }
+    for (const TimeUs end = world.now() + 9 * usPerS; world.now() < end;)
+        submitOther();
+    REQUIRE(world.answer(caller) != nullptr);
+    CHECK(world.answer(caller)->kind == Kind::Completed);
+}
+
 // Guards against a crash count for backend servers that were only cut off.
 TEST_CASE("a job whose backend servers are cut off twice is not failed")
 {
