Look at the capacity again before a held start, and pause after a start without room

What callers see: nothing but later answers; the backend servers see starts beyond a capacity that has just shrunk, or over a thousand rejected starts in half a second.

Cause: a start that was kept until an idle backend server had answered was sent without a second look at the capacity.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -298,6 +298,7 @@
     run.server = found->second;
     run.number = item.run;
     run.resources = order.taskResources;
+    run.orderedAt = now;
     run.expectedUs = order.expectedUs;
     Run &kept = m_runs.emplace(task, std::move(run)).first->second;
     server.used += order.taskResources;
@@ -345,7 +346,7 @@
         const auto found = m_runs.find(order.task);
         if (found == m_runs.end() || found->second.number != order.run)
             continue;
-        if (isStartable && found->second.state == RunState::Held)
+        if (isStartable && found->second.state == RunState::Held && server.used.fitsInto(server.entry.capacity))
             sendStart(now, server, found->second, std::move(order), actions);
         else
             endRun(now, order.task, RunEnd::NotAsked, 0, ended);
@@ -489,6 +490,7 @@
         for (const UnconfirmedStart &start : server.unconfirmedStarts)
             sendStop(now, server, start.task, start.run, actions);
         if (hasUnknownRuns || !server.unconfirmedStarts.empty()) {
+            dropHeldStarts(now, server, ended);        // other backend servers take these tasks meanwhile
             sendHold(now, server, false, 50, actions); // a stop takes 50 ms
             return;
         }
--- a/packages/command/commander_answers.cpp
+++ b/packages/command/commander_answers.cpp
@@ -168,9 +168,12 @@
         onMissingAnswer(now, server, actions, ended);
         return;
     case OrderOutcome::NoRoom:
+    case OrderOutcome::Malformed:
+        // Its capacity may have shrunk; other backend servers are tried meanwhile.
+        server.blockedUntil = std::max(server.blockedUntil, now + unhealthyBlockUs);
+        [[fallthrough]];
     case OrderOutcome::OldRun:
     case OrderOutcome::Late:
-    case OrderOutcome::Malformed:
         actions.push_back(
                 LogLine{true, "servers",
                         concat("backend server rejected start server=", server.entry.id, " job=", event.task.job,
--- a/tests/unit/command/capacity_test.cpp
+++ b/tests/unit/command/capacity_test.cpp
@@ -38,6 +38,34 @@
     }
 }
 
+// Guards against starts that are repeated at once, as often as the answers come, until the entry is read.
+TEST_CASE("a start that a shrunk backend server rejects is not repeated there at once")
+{
+    FleetWorld world({.zones = {{"a", 1, 1}}});
+    world.start();
+    world.resizeServer(0, 10000, 500 * usPerMs);
+    const CallerId caller =
+            world.submit(0, {.id = makeJobId(1), .tasks = 2, .workUs = 60 * usPerMs, .budgetUs = 3 * usPerS});
+    world.runFor(3 * usPerS);
+    CHECK(world.rejectedStarts() < 10);
+    CHECK(world.answer(caller) != nullptr);
+}
+
+// Guards against a start that was kept for an idle backend server until its capacity had shrunk.
+TEST_CASE("a held start is not sent beyond a capacity that has shrunk meanwhile")
+{
+    FleetWorld world({.zones = {{"a", 1, 1}}, .orderDelayUs = 20 * usPerMs});
+    world.start();
+    world.runFor(usPerS);
+    world.server(0).guardsCapacity = false;
+    world.submit(0, {.id = makeJobId(1), .workUs = 60 * usPerMs});
+    world.runFor(5 * usPerMs);
+    world.resizeServer(0, 10000);
+    world.runFor(usPerS);
+    CHECK(world.starts() == 0);
+    CHECK(join(world.violations()).empty());
+}
+
 // Guards against the final answer "failed" for a job that fits again once the backend servers have grown.
 TEST_CASE("a job that fits no backend server while all have shrunk is refused at once, not failed")
 {
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -415,6 +415,7 @@
         m_restartUs = restartUs;
         m_entryLostUs = entryLostUs;
     }
+    std::uint64_t rejectedStarts() const { return m_rejectedStarts; } // for want of capacity
     std::size_t runCount() const
     {
         std::size_t sum = 0;
@@ -758,6 +759,7 @@
         const Resources taskResources{job.milliCores, 64, 0};
         if (!taskResources.fitsInto(server.entry.capacity - server.used())) {
             if (server.guardsCapacity) {
+                ++m_rejectedStarts;
                 answerWith(OrderOutcome::NoRoom);
                 return;
             }
@@ -919,6 +921,7 @@
     double m_lostAnswerShare = 0;
     TimeUs m_lostAnswerDelayUs = 0;
     std::uint64_t m_starts = 0;
+    std::uint64_t m_rejectedStarts = 0;
     std::function<void(CallerId, const Answered &)> m_answerHandler;
     std::vector<std::string> m_violations;
 };
