Answer calls that arrive while the HTTP server stops

An entry VM would end the same way while it stops under load.

Cause: the waiting calls are answered once before the server stops. A request that was read after that was suspended, nobody answered it, and libmicrohttpd aborts the process when it stops with suspended connections.

Change: from the last answers on, calls are rejected at once instead of being suspended. The decision and the list of waiting calls share a lock.

--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -71,6 +71,11 @@
     return MHD_YES;
 }
 
+HttpAnswer makeStoppingAnswer()
+{
+    return {503, R"({"error":"stopping","place":"","detail":"the server stops"})"};
+}
+
 bool isClosedByClient(MHD_Connection *connection)
 {
     const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
@@ -110,6 +115,7 @@
     absl::flat_hash_map<HttpCall, Exchange *> waiting; // passed to the handler and not yet answered
     std::size_t open = 0;                              // exchanges in progress
     std::uint64_t lastCall = 0;
+    bool rejectsCalls = false; // the waiting calls have been answered for the last time
 
     MHD_Result begin(MHD_Connection *connection, const char *path, const char *method, void **slot);
     MHD_Result receive(Exchange &exchange, std::string_view data);
@@ -171,15 +177,19 @@
         return deliver(exchange.connection, makeLimitAnswer(413, "body_too_large", "body", settings.maxBodyBytes));
     if (settings.dropsAbandonedRequests && isClosedByClient(exchange.connection))
         return MHD_NO;
-    exchange.passedToHandler = true;
-    MHD_suspend_connection(exchange.connection);
     HttpCall call{};
     {
         const std::lock_guard lock(mutex);
-        call = HttpCall{++lastCall};
-        exchange.call = call;
-        waiting.emplace(call, &exchange);
+        if (!rejectsCalls) {
+            exchange.passedToHandler = true;
+            MHD_suspend_connection(exchange.connection);
+            call = HttpCall{++lastCall};
+            exchange.call = call;
+            waiting.emplace(call, &exchange);
+        }
     }
+    if (call == HttpCall{})
+        return deliver(exchange.connection, makeStoppingAnswer());
     HttpRequest request = std::move(exchange.request);
     handler(call, std::move(request)); // exchange may be answered and deleted from here on
     return MHD_YES;
@@ -366,12 +376,15 @@
         lock.lock();
         m_state->delivered.wait_for(lock, std::chrono::milliseconds(waitMs), isIdle);
     }
+    // A call that was suspended later would have no answer, and libmicrohttpd aborts the process when it stops with
+    // suspended connections.
+    m_state->rejectsCalls = true;
     std::vector<HttpCall> unanswered;
     for (const auto &[call, exchange] : m_state->waiting)
         unanswered.push_back(call);
     lock.unlock();
     for (const HttpCall call : unanswered)
-        answer(call, {503, R"({"error":"stopping","place":"","detail":"the server stops"})"});
+        answer(call, makeStoppingAnswer());
     lock.lock();
     m_state->delivered.wait_for(lock, rejectTimeout, isIdle);
     lock.unlock();
--- a/tests/unit/net/http_test.cpp
+++ b/tests/unit/net/http_test.cpp
@@ -128,6 +128,20 @@
     }
 }
 
+// Guards against a call that arrives while the server stops and is never answered: libmicrohttpd aborts the process.
+TEST_CASE("a server that answers nothing stops cleanly while requests arrive, many times")
+{
+    for (int i = 0; i < 100; ++i) {
+        auto server = HttpServer::start({.threads = 4}, [](HttpCall, HttpRequest &&) {});
+        REQUIRE(server);
+        HttpClient client({.maxHostConnections = 64});
+        for (int request = 0; request < 64; ++request)
+            client.send({.url = makeUrl((*server)->port(), "/")}, [](HttpResult &&) {});
+        std::this_thread::sleep_for(std::chrono::microseconds(100 * (i % 20)));
+        (*server)->stop(0);
+    }
+}
+
 // Guards against waiting calls of disconnected clients that occupy a connection until their deadline.
 TEST_CASE("calls of closed connections are reported once")
 {
