--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -114,6 +114,7 @@
                                          " runs=", server.runs.size(), " stage=", toString(server.stage))});
     server.listed = false;
     ++m_capacityVersion;
+    // An entry expires after some seconds of silence. With the missing answers, that is taken for a crash.
     if (server.stage == Stage::Suspect && !server.entry.draining)
         reportCrash(server, ended);
     // A registry entry may also expire while its backend server still works, so runs are kept until their leases end.
