--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -447,14 +447,14 @@
             reportedEnd = RunEnd::Stopped; // the job no longer waits for this run
         endRun(now, end.task, reportedEnd, 0, ended);
     }
-    bool hasUnknownRuns = false;
+    std::size_t unknownRuns = 0;
     for (const RunningRun &running : event.running) {
         const auto found = m_runs.find(running.task);
         const bool isKnown = found != m_runs.end() && found->second.number == running.run
                 && &m_servers[found->second.server] == &server;
         if (!isKnown) {
             // Started by an earlier commander, already given up here, or the order arrived late.
-            hasUnknownRuns = true;
+            ++unknownRuns;
             sendStop(now, server, running.task, running.run, actions);
         } else if (found->second.state == RunState::Starting) {
             found->second.state = RunState::Running;
@@ -464,6 +464,11 @@
             sendStop(now, server, running.task, running.run, actions);
         }
     }
+    if (unknownRuns > 0)
+        actions.push_back(LogLine{true, "servers",
+                                  concat("backend server lists unknown runs, which are stopped server=",
+                                         server.entry.id, " unknown_runs=", unknownRuns, " runs=", server.runs.size(),
+                                         " stage=", toString(server.stage), " token=", server.token)});
     // A run that was accepted before the lists were requested and is in neither list has vanished.
     std::vector<TaskId> vanished;
     for (const TaskId &task : server.runs) {
@@ -490,7 +495,7 @@
         std::erase_if(server.unconfirmedStarts, [&](const UnconfirmedStart &start) { return now >= start.until; });
         for (const UnconfirmedStart &start : server.unconfirmedStarts)
             sendStop(now, server, start.task, start.run, actions);
-        if (hasUnknownRuns || !server.unconfirmedStarts.empty()) {
+        if (unknownRuns > 0 || !server.unconfirmedStarts.empty()) {
             dropHeldStarts(now, server, ended);        // other backend servers take these tasks meanwhile
             sendHold(now, server, false, 50, actions); // a stop takes 50 ms
             return;
