Claim a backend server again under each new fencing token

Cause, shown by simulation: shards go from one entry VM to another and back within a second. The first one never learns of it, or still has runs there and keeps commanding. It takes the new token and goes on as before, so it renews the leases of all runs on the backend server, also of those that the other entry VM has started meanwhile. That one counts them as ended when the last lease that it has given is over, and its coordinator starts the tasks again. The class of fault: knowledge from an earlier time of command is used after a change of commanders that was not noticed.

Change: under a new token the backend server first lists its runs. Until then no lease is renewed and nothing is started there. A start that was sent under the earlier token and is rejected after that says nothing about another commander; the token of each start is kept to tell the two apart.

Evidence: two directed tests fail without the change (two runs; a lease renewed under the new token before the first lists).

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -132,10 +132,13 @@
             continue;
         if (isCommandedHere(server)) {
             server.handingOver = false;
+            const bool isNewToken = assigned.token > server.token;
+            server.token = assigned.token;
             if (server.stage == Stage::Foreign
                 || (server.stage == Stage::Fenced && assigned.token > server.fencedToken))
                 startCommanding(now, server, assigned.token, actions);
-            server.token = assigned.token;
+            else if (server.stage != Stage::Fenced && isNewToken)
+                claimAgain(now, server, actions);
         } else if (server.stage == Stage::Usable && !server.runs.empty()) {
             server.handingOver = true;
         } else if (server.stage != Stage::Foreign) {
@@ -156,6 +159,17 @@
     sendHold(now, server, false, 0, actions);
 }
 
+// Between two tokens of this entry VM another one may have commanded the backend server, and what has been learned
+// under the earlier token says nothing about its runs. Known runs stay; their leases are renewed once they are listed.
+void Commander::claimAgain(TimeUs now, Server &server, std::vector<Action> &actions)
+{
+    if (server.stage == Stage::Usable) {
+        server.stage = Stage::Claiming;
+        ++m_capacityVersion;
+    }
+    sendHold(now, server, false, 0, actions);
+}
+
 void Commander::stopCommanding(TimeUs now, Server &server, std::vector<RunEndNotice> &ended)
 {
     abandonRuns(now, server, server.leasesEndBy, ended);
@@ -312,7 +326,6 @@
     start.task = task;
     start.run = item.run;
     start.spec = order.spec;
-    start.token = server.token;
     start.timeoutUs = answerTimeoutUs;
     // Without an open hold a restart or a crash goes unnoticed, and the lease end of a start means nothing to the clock
     // of another incarnation. Such a backend server is asked first.
@@ -334,6 +347,8 @@
     run.orderedAt = now;
     run.unansweredStarts = m_startDelay.onSent();
     run.leavesAt = now + m_startDelay.queuedUs();
+    run.token = server.token;
+    order.token = server.token;
     order.leaseEndMs = clockNow(server, now) + m_settings.maxLeaseUs / usPerMs;
     server.leasesEndBy = std::max(server.leasesEndBy, now + leaseBound(m_settings.maxLeaseUs));
     actions.push_back(std::move(order));
--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -115,6 +115,7 @@
         std::string coordinator;
         std::uint32_t server = 0;
         RunNumber number = 0;
+        FencingToken token = 0; // of the start order
         Resources resources;
         RunState state = RunState::Starting;
         TimeUs orderedAt = 0;
@@ -170,6 +171,7 @@
     std::uint32_t indexOf(std::string_view server);
     bool isCommandedHere(const Server &server) const;
     void startCommanding(TimeUs now, Server &server, FencingToken token, std::vector<Action> &actions);
+    void claimAgain(TimeUs now, Server &server, std::vector<Action> &actions);
     void stopCommanding(TimeUs now, Server &server, std::vector<RunEndNotice> &ended);
     void abandonRuns(TimeUs now, Server &server, TimeUs endsBy, std::vector<RunEndNotice> &ended);
     void sendHold(TimeUs now, Server &server, bool withLease, std::int64_t waitMs, std::vector<Action> &actions);
--- a/packages/command/commander_answers.cpp
+++ b/packages/command/commander_answers.cpp
@@ -149,10 +149,13 @@
         if (run.state == RunState::Starting)
             run.state = RunState::Running;
         return;
-    case OrderOutcome::Fenced:
+    case OrderOutcome::Fenced: {
+        const bool isOwnToken = run.token < server.token;  // the backend server has seen the present token of this VM
         endRun(now, event.task, RunEnd::NotRun, 0, ended); // the order had no effect
-        onFenced(now, server, actions, ended);
+        if (!isOwnToken)
+            onFenced(now, server, actions, ended);
         return;
+    }
     case OrderOutcome::OtherInstance:
         // The order may have gone to an earlier address; the answer to a hold decides about the other runs.
         endRun(now, event.task, RunEnd::NotRun, 0, ended);
--- a/tests/unit/command/commander_test.cpp
+++ b/tests/unit/command/commander_test.cpp
@@ -134,5 +134,38 @@
     CHECK(fixture.start("b"));
 }
 
+// Guards against renewed leases of runs that another commander has started and reported as lost in the meantime.
+TEST_CASE("a new fencing token renews no lease before the backend server has listed its runs under it")
+{
+    SingleServer fixture;
+    REQUIRE(fixture.start("own"));
+    fixture.startResult("own", OrderOutcome::Accepted, ClockReading{500000, fixture.now, fixture.now});
+    fixture.answerHold(500000, 1000, {{{"own", 0}, 1}});
+    REQUIRE(pickAll<SendHold>(fixture.actions).back().leaseEndMs.has_value());
+    const std::uint64_t openHold = fixture.lastHold();
+
+    fixture.commander.assignShards(fixture.now, {2, 1, {}}, fixture.actions, fixture.ended);
+    fixture.actions.clear();
+    fixture.commander.assignShards(fixture.now, {3, 1, {0}}, fixture.actions, fixture.ended);
+    fixture.now += 650 * usPerMs;
+    HoldResult unanswered;
+    unanswered.server = "s-0";
+    unanswered.sequence = openHold;
+    fixture.commander.onHoldResult(fixture.now, unanswered, fixture.actions, fixture.ended);
+    CHECK_FALSE(fixture.start("next"));
+    for (const SendHold &hold : pickAll<SendHold>(fixture.actions)) {
+        CHECK(hold.token == 3);
+        CHECK_FALSE(hold.leaseEndMs.has_value());
+    }
+
+    fixture.answerHold(500650, 1000, {{{"own", 0}, 1}, {{"other", 0}, 7}});
+    CHECK_FALSE(fixture.start("next"));
+    CHECK_FALSE(pickAll<SendHold>(fixture.actions).back().leaseEndMs.has_value());
+    fixture.now += 50 * usPerMs;
+    fixture.answerHold(500700, 1000, {{{"own", 0}, 1}});
+    CHECK(pickAll<SendHold>(fixture.actions).back().leaseEndMs.has_value());
+    CHECK(fixture.start("next"));
+}
+
 } // namespace
 } // namespace clementinelift::command
--- a/tests/unit/command/fleet_coordination_test.cpp
+++ b/tests/unit/command/fleet_coordination_test.cpp
@@ -407,5 +407,36 @@
     CHECK(world.answer(caller)->afterUs < 1800 * usPerMs);
 }
 
+// Guards against two runs of a task after a backend server went to another entry VM and back within a second.
+TEST_CASE("a commander that gets a backend server back does not keep the runs of the one in between alive")
+{
+    FleetWorld world({.zones = {{"a", 2, 1}, {"b", 1, 1}}});
+    world.start();
+    const std::vector<std::uint32_t> all{0, 1, 2, 3, 4, 5, 6, 7};
+    world.deliver(0, ShardsAssigned{100, 8, all});
+    world.deliver(1, ShardsAssigned{100, 8, {}});
+    world.runFor(50 * usPerMs);
+    const WorldJob first{.id = makeJobId(1), .workUs = 3 * usPerS, .budgetUs = 20 * usPerS};
+    const WorldJob second{.id = makeJobId(2), .workUs = 3 * usPerS, .budgetUs = 20 * usPerS};
+    world.submit(0, first);
+    world.runFor(50 * usPerMs);
+    REQUIRE(world.server(0).runs.size() == 1);
+
+    world.cutAnswers(0, 0, true);
+    world.deliver(1, ShardsAssigned{101, 8, all}); // entry VM 0 never learns of it
+    world.runFor(150 * usPerMs);
+    world.submit(1, second);
+    world.runFor(200); // the start is on its way
+    world.cutAnswers(1, 0, true);
+    world.runFor(usPerMs);
+    world.cutServer(1, 0, true);
+    REQUIRE(world.server(0).runs.contains({second.id, 0}));
+    world.deliver(0, ShardsAssigned{102, 8, all});
+    world.deliver(1, ShardsAssigned{102, 8, {}});
+    world.runFor(4 * usPerS);
+    CHECK(world.startsOf(second.id) == 2);
+    CHECK(join(world.violations()).empty());
+}
+
 } // namespace
 } // namespace clementinelift::command
--- a/tests/unit/command/fleet_resubmission_fuzz_test.cpp
+++ b/tests/unit/command/fleet_resubmission_fuzz_test.cpp
@@ -18,14 +18,20 @@
 class ResubmissionRun
 {
 public:
-    // With late restarts, a crashed backend server is back within 50 ms, carries orders out late, and is cut off.
-    explicit ResubmissionRun(std::uint64_t seed, bool hasLateRestarts = false)
+    enum class Faults : std::uint8_t {
+        Usual,
+        LateRestarts,    // a crashed backend server is back within 50 ms, carries orders out late, and is cut off
+        LateAssignments, // entry VMs learn late which backend servers they command
+    };
+
+    explicit ResubmissionRun(std::uint64_t seed, Faults faults = Faults::Usual)
         : m_world({.zones = makeZones(seed),
                    .speeds = {0.7, 0.7, 1.7},
                    .sizes = {1.0, 1.0, 1.5},
+                   .joinIntervalUs = faults == Faults::LateAssignments ? 300 * usPerMs : 0,
                    .seed = seed,
                    .trace = std::getenv("FLEET_FUZZ_TRACE") != nullptr}),
-          m_load(seed % 5 == 0 ? 0.1 : 0.5), m_hasLateRestarts(hasLateRestarts)
+          m_load(seed % 5 == 0 ? 0.1 : 0.5), m_faults(faults)
     {
         m_world.onAnswer([this](CallerId caller, const FleetWorld::Answered &answer) {
             const auto found = m_attempts.find(caller);
@@ -47,6 +53,8 @@
                 submit({makeJob(), 1});
             if (chance(0.08))
                 injectFault();
+            if (m_faults == Faults::LateAssignments && chance(0.04))
+                moveShards();
             m_world.runFor(20 * usPerMs);
         }
         m_world.runFor(5 * usPerS);
@@ -189,7 +197,7 @@
             if (!m_world.server(server).up)
                 break;
             m_world.crash(server);
-            if (m_hasLateRestarts) {
+            if (m_faults == Faults::LateRestarts) {
                 m_world.after((1 + pick(50)) * usPerMs, [this, server] { restartLate(server); });
                 break;
             }
@@ -212,6 +220,26 @@
         }
     }
 
+    // The store deals the shards anew, often several times in a row, while some orders are carried out late.
+    void moveShards()
+    {
+        for (int i = pick(4); i >= 0; --i)
+            m_world.after(pick(600) * usPerMs, [this] { m_world.assignShards(chance(0.5) ? "a" : "b"); });
+        const int node = pick(m_world.nodeCount());
+        if (chance(0.5)) {
+            m_world.cutStore(node, true);
+            m_world.after(pick(4000) * usPerMs, [this, node] { m_world.cutStore(node, false); });
+        }
+        if (chance(0.5)) {
+            m_world.setLostAnswers(0.2 * (1 + pick(4)), pick(2) * pick(12000) * usPerMs);
+            m_world.after(pick(3000) * usPerMs, [this] { m_world.setLostAnswers(0, 0); });
+        }
+        if (chance(0.3)) {
+            const int server = pick(m_world.serverCount());
+            m_world.server(server).hanging = true;
+            m_world.after(pick(3000) * usPerMs, [this, server] { m_world.server(server).hanging = false; });
+        }
+    }
     void restartLate(int server)
     {
         m_world.reboot(server, pick(2000) * usPerMs);
@@ -230,20 +258,20 @@
 
     FleetWorld m_world;
     double m_load = 0.5;
-    bool m_hasLateRestarts = false;
+    Faults m_faults = Faults::Usual;
     std::uint64_t m_lastJob = 0;
     std::map<CallerId, Attempt> m_attempts;
 };
 
 // FLEET_FUZZ_SEEDS=FIRST,COUNT runs other seeds; FLEET_FUZZ_TRACE=1 prints log lines and runs.
-void runSeeds(bool hasLateRestarts)
+void runSeeds(ResubmissionRun::Faults faults)
 {
     std::uint64_t first = 1;
     std::uint64_t runs = 100;
     if (const char *seeds = std::getenv("FLEET_FUZZ_SEEDS"))
         std::sscanf(seeds, "%lu,%lu", &first, &runs);
     for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-        ResubmissionRun run(seed, hasLateRestarts);
+        ResubmissionRun run(seed, faults);
         run.simulate();
         INFO("seed " << seed << " " << join(run.world().violations()));
         CHECK(join(run.world().violations()).empty());
@@ -253,12 +281,17 @@
 
 TEST_CASE("random faults and callers that submit jobs again cause no overlapping runs")
 {
-    runSeeds(false);
+    runSeeds(ResubmissionRun::Faults::Usual);
 }
 
 TEST_CASE("random restarts of backend servers with late orders cause no overlapping runs")
 {
-    runSeeds(true);
+    runSeeds(ResubmissionRun::Faults::LateRestarts);
+}
+
+TEST_CASE("random reassignments of backend servers that entry VMs learn late cause no overlapping runs")
+{
+    runSeeds(ResubmissionRun::Faults::LateAssignments);
 }
 
 } // namespace
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -49,6 +49,7 @@
     std::int64_t linkBytesPerS = 0;  // that an entry VM can send; 0: no limit
     std::size_t specBytes = 4;       // specification of a job, contained in each of its orders
     std::uint32_t shards = 8;
+    TimeUs joinIntervalUs = 0; // an entry VM learns its newest shards within this; 0: all learn them at once
     std::uint64_t seed = 1;
     bool trace = false; // prints log lines and runs
 };
@@ -323,7 +324,9 @@
         const FencingToken token = ++m_token;
         std::vector<int> members;
         for (int node = 0; node < nodeCount(); ++node) {
-            if (isUp(node) && m_nodes[static_cast<std::size_t>(node)].zone == zone && core(node).isCommanding())
+            const bool hasLapsed = m_storeCutAt.contains(node) && m_now - m_storeCutAt.at(node) >= 1300 * usPerMs;
+            if (isUp(node) && m_nodes[static_cast<std::size_t>(node)].zone == zone && core(node).isCommanding()
+                && !hasLapsed)
                 members.push_back(node);
         }
         const auto first = static_cast<std::uint32_t>(m_random() % std::max<std::size_t>(members.size(), 1));
@@ -333,7 +336,22 @@
                 if ((shard + first) % members.size() == i)
                     held.shards.push_back(shard);
             }
-            deliver(members[i], std::move(held));
+            reportShards(members[i], std::move(held));
+        }
+    }
+    // While cut, the entry VM learns of no assignment; once its membership has lapsed, others get its shards.
+    void cutStore(int index, bool cut)
+    {
+        const std::string zone = m_nodes[static_cast<std::size_t>(index)].zone;
+        if (cut) {
+            m_storeCutAt[index] = m_now;
+            after(1300 * usPerMs, [this, index, zone, cutAt = m_now] {
+                const auto found = m_storeCutAt.find(index);
+                if (found != m_storeCutAt.end() && found->second == cutAt)
+                    assignShards(zone);
+            });
+        } else if (m_storeCutAt.erase(index) > 0) {
+            assignShards(zone);
         }
     }
     // Changes the capacity of a backend server that is at work. Entry VMs read it after entryDelayUs.
@@ -479,6 +497,24 @@
             std::visit([&](auto &content) { act(index, content); }, action);
     }
 
+    // With a join interval, an entry VM learns only the newest of several assignments, unless it has left meanwhile.
+    void reportShards(int index, ShardsAssigned &&held)
+    {
+        if (m_settings.joinIntervalUs == 0) {
+            deliver(index, std::move(held));
+            return;
+        }
+        m_newestShards[index] = std::move(held);
+        const auto delayUs = static_cast<TimeUs>(m_random() % static_cast<std::uint64_t>(m_settings.joinIntervalUs));
+        after(delayUs, [this, index] {
+            const auto newest = m_newestShards.find(index);
+            if (newest == m_newestShards.end() || m_storeCutAt.contains(index))
+                return;
+            deliver(index, std::move(newest->second));
+            m_newestShards.erase(newest);
+        });
+    }
+
     // Delivers the events that arrived while frozen, in the order of arrival.
     void thaw(int index, int incarnation)
     {
@@ -920,6 +956,8 @@
     std::map<std::pair<int, int>, int> m_linkGenerations; // increases when a link ends
     Pairs m_cutServers;
     Pairs m_cutAnswers;
+    std::map<int, TimeUs> m_storeCutAt;           // entry VMs that are cut off from the store
+    std::map<int, ShardsAssigned> m_newestShards; // not yet known to the entry VM
     double m_lostAnswerShare = 0;
     TimeUs m_lostAnswerDelayUs = 0;
     std::uint64_t m_starts = 0;
