Count messages that waited during a pause as contact before the pause

The job had been submitted again 1,300 ms after its entry VM, the coordinator, had lost its power.

Cause, shown by the trace: the commander of the first run was paused from 10.63 s to 11.552 s. Messages of the coordinator that had arrived before or early in the pause were handled after it and counted as contact at 11.552 s. So the commander went on renewing the lease of the run, and noticed the loss only at 12.272 s, 148 ms after the second run had started. The class of fault: a message is taken as evidence of contact when it is handled, not when it may have arrived.

Change: within 100 ms after a gap of over 100 ms between events, a message is contact at the beginning of the gap, for leases. For the loss of peers it still counts when it is handled, as a live peer must not count as lost because its messages have waited here.

Ruled out: echoes of time stamps in reports. Their age reaches two heartbeats, 300 ms, so they would block renewals between healthy entry VMs, or need twice the heartbeats. Messages that are late because of a cut link still count when they are handled.

--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -14,8 +14,11 @@
 constexpr TimeUs forwardingTickUs = 50 * usPerMs; // bounds how long the disconnect of a caller is not noticed
 constexpr TimeUs startUpUs = 3 * usPerS; // links, elections and shards follow each other; none waits for a tick
 constexpr TimeUs pauseThresholdUs = 300 * usPerMs; // a longer gap between events means that the process was suspended
-constexpr TimeUs resumeDelayUs = 100 * usPerMs;    // without starts after a pause, to detect lost callers and peers
-constexpr TimeUs answerReserveUs = 15 * usPerMs;   // for delivering the answer before the caller's timeout
+// A message that is handled after a longer gap between events counts as contact before the gap. Ticks come every 20 ms
+// while there are runs, and slow VMs are suspended for less than this all the time.
+constexpr TimeUs maxContactGapUs = 100 * usPerMs;
+constexpr TimeUs resumeDelayUs = 100 * usPerMs;  // without starts after a pause, to detect lost callers and peers
+constexpr TimeUs answerReserveUs = 15 * usPerMs; // for delivering the answer before the caller's timeout
 // Shortest drain: the load balancer probes once a second, and two failed probes end its traffic.
 constexpr TimeUs minDrainUs = 2500 * usPerMs;
 constexpr TimeUs exitReserveUs = 900 * usPerMs;     // at the end of a drain, to hand over shards and close links
@@ -46,6 +49,10 @@
         logLine(true, "process", concat("process resumed after a pause pause_ms=", (now - m_lastEventAt) / usPerMs));
         m_noStartsUntil = now + resumeDelayUs;
     }
+    if (m_lastEventAt != 0 && now - m_lastEventAt > maxContactGapUs) {
+        m_gapBegan = m_lastEventAt;
+        m_gapEnded = now;
+    }
     m_startedAt = m_startedAt == 0 ? now : m_startedAt;
     m_lastEventAt = now;
     std::visit([this](auto &content) { on(content); }, event);
@@ -56,6 +63,12 @@
         m_nextTick = std::min(m_nextTick, now + forwardingTickUs);
 }
 
+// Messages that are handled right after a gap between events may have arrived at any time since its beginning.
+TimeUs FleetDispatcher::contactTime() const
+{
+    return m_gapEnded != 0 && m_now - m_gapEnded < resumeDelayUs ? m_gapBegan : m_now;
+}
+
 // Forwarded requests have none here: their coordinator watches them.
 bool FleetDispatcher::needsFrequentTicks() const
 {
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -267,6 +267,7 @@
     void handleLossCount(const std::string &node, Peer &peer, std::uint32_t lossCount);
     void checkPeer(const std::string &node, Peer &peer);
     void markPeersInUse();
+    TimeUs contactTime() const;
     void confirmContact(const std::string &node, Peer &peer);
     void updateReportedCapacities();
     bool isReportDue(const Peer &peer) const;
@@ -299,7 +300,9 @@
     TimeUs m_now = 0;                         // of one apply() or placeTasks()
     TimeUs m_lastEventAt = 0;
     TimeUs m_nextTick = 0;
-    TimeUs m_noStartsUntil = 0;              // set after the process was suspended
+    TimeUs m_noStartsUntil = 0; // set after the process was suspended
+    TimeUs m_gapBegan = 0;      // last long gap between events
+    TimeUs m_gapEnded = 0;
     std::uint64_t m_seenCapacityVersion = 0; // capacityVersion() of the commander when m_reported was updated
     std::uint64_t m_reportVersion = 0;       // of the last update of m_reported
     std::map<std::string, ReportedCapacity, std::less<>> m_reported;
--- a/packages/command/fleet_peers.cpp
+++ b/packages/command/fleet_peers.cpp
@@ -89,15 +89,15 @@
         logLine(false, "peers", concat("peer answers again node=", event.node));
     }
     peer.lastContactAt = m_now;
-    m_commander.setLastContact(found->first, std::min(peer.lastContactAt, peer.contactConfirmedAt));
     std::visit([&](auto &message) { onMessage(found->first, peer, message); }, event.message);
 }
 
-// The peer has received messages of this entry VM recently.
+// The peer has received messages of this entry VM recently. Only leases depend on the earliest time of contact: a live
+// peer must not count as lost because its messages have waited here.
 void FleetDispatcher::confirmContact(const std::string &node, Peer &peer)
 {
     peer.contactConfirmedAt = m_now;
-    m_commander.setLastContact(node, m_now);
+    m_commander.setLastContact(node, contactTime());
 }
 
 void FleetDispatcher::markPeersInUse()
--- a/tests/unit/command/fleet_dispatcher_test.cpp
+++ b/tests/unit/command/fleet_dispatcher_test.cpp
@@ -152,6 +152,25 @@
     }
 }
 
+// Guards against leases that are renewed after a pause because messages of a failed entry VM had arrived before.
+TEST_CASE("messages that waited during a pause do not keep the runs of a failed entry VM alive")
+{
+    for (TimeUs offset = 0; offset < 400 * usPerMs; offset += 50 * usPerMs) {
+        FleetWorld world({.zones = {{"a", 1, 1}, {"b", 1, 0}}});
+        world.start();
+        world.submit(1, {.id = makeJobId(8), .workUs = 5 * usPerS, .budgetUs = 20 * usPerS});
+        world.runFor(200 * usPerMs + offset);
+        REQUIRE(world.runCount() == 1);
+        world.freeze(0, 700 * usPerMs);
+        world.runFor(200 * usPerMs);
+        world.powerOff(1);
+        world.runFor(700 * usPerMs);
+        world.cutServer(0, 0, true); // the stop does not arrive
+        world.runFor(400 * usPerMs); // the caller submits its job again
+        CHECK(world.runCount() == 0);
+    }
+}
+
 // Guards against a second run of a task while the first is still being stopped.
 TEST_CASE("a job that is submitted again at once waits for the end of its stopped runs")
 {
