End all leases before a caller that has disconnected returns

A caller submits its job again 1,300 ms after its connection broke. The run that cannot be stopped meanwhile ends with its lease.

Cause: leases were renewed for 250 ms after the first stop of a run or the last contact with its coordinator, for up to 1,022 ms each. 28 ms remained for everything else: up to 50 ms until a front VM notices the disconnect, the messages, and the time that a message waits for the next event here, up to 100 ms before it counts as a gap. Starts extend the leases of all runs of a backend server in the same way.

Change: a lease ends at most 1,180 ms after the first stop of any run of the backend server or the last contact with any coordinator there. Renewals continue for 450 ms instead of 250 ms, as they end no later, so an entry VM that is suspended for 250 ms again and again still renews the leases of its peers' runs.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -19,10 +19,15 @@
 constexpr TimeUs answerTimeoutUs = 150 * usPerMs;    // of orders that are answered at once: 100 round-trip times
 constexpr TimeUs holdAnswerMarginUs = 250 * usPerMs; // for the answer once the wait of a hold is over
 constexpr TimeUs stopTimeoutUs = 80 * usPerMs;       // a stop without an answer is sent again after this
-// Longest time that leases are renewed after the first stop of a run or after the last contact with its coordinator. A
-// caller submits its job again 1,300 ms after its connection broke; a run that cannot be stopped ends with its lease,
-// at latest 1,022 ms after the last renewal.
-constexpr TimeUs renewalLimitUs = 250 * usPerMs;
+// Latest end of a lease after the disconnect of a caller or the last message of its entry VM: the caller submits its
+// job again after 1,300 ms.
+constexpr TimeUs latestLeaseEndUs = 1300 * usPerMs;
+// From that event to the first stop or the last contact here: 50 ms until a front VM notices the disconnect, or 100 ms
+// between two events here, and the delay of two messages.
+constexpr TimeUs contactReserveUs = 120 * usPerMs;
+// Leases are not renewed when the first stop of a run or the last contact with its coordinator is older than this. The
+// renewed leases would have 700 ms left, and the answer to a hold may take 650 ms.
+constexpr TimeUs renewalLimitUs = 450 * usPerMs;
 constexpr TimeUs stopRepeatUs = 120 * usPerMs; // a stop takes 50 ms; while the run is still listed it is sent again
 constexpr TimeUs minFailureBlockUs = 700 * usPerMs; // after consecutive failed runs, doubled with each further one
 constexpr TimeUs maxFailureBlockUs = 3 * usPerS;
@@ -261,10 +266,8 @@
     order.waitMs = waitMs;
     order.token = server.token;
     order.timeoutUs = waitMs * usPerMs + (waitMs > 0 ? holdAnswerMarginUs : answerTimeoutUs);
-    if (withLease && server.clockAt != 0 && mayRenew(server, now)) {
-        order.leaseEndMs = clockNow(server, now) + m_settings.maxLeaseUs / usPerMs;
-        server.leasesEndBy = now + leaseBound(m_settings.maxLeaseUs);
-    }
+    if (withLease && server.clockAt != 0 && mayRenew(server, now))
+        order.leaseEndMs = extendLeases(server, now);
     server.sentAcknowledgedEnd = server.acknowledgedEnd;
     server.holdSequence = order.sequence;
     server.holdSentAt = now;
@@ -278,17 +281,37 @@
     actions.push_back(SendStop{server.entry.id, server.entry.address, task, run, server.token, stopTimeoutUs});
 }
 
-// A hold renews the leases of all runs of a backend server, so one run that has to end blocks the renewal of all
-// others.
-bool Commander::mayRenew(const Server &server, TimeUs now) const
+// How long ago the first stop of a run on the backend server was sent, or its coordinator was last in contact.
+TimeUs Commander::longestSilence(const Server &server, TimeUs now) const
 {
-    return std::none_of(server.runs.begin(), server.runs.end(), [&](const TaskId &task) {
+    TimeUs longestUs = 0;
+    for (const TaskId &task : server.runs) {
         const Run &run = m_runs.find(task)->second;
-        if (run.state == RunState::Stopping && now - run.firstStopSentAt > renewalLimitUs)
-            return true;
+        if (run.state == RunState::Stopping)
+            longestUs = std::max(longestUs, now - run.firstStopSentAt);
         const auto lastContact = m_lastContactAt.find(run.coordinator);
-        return lastContact != m_lastContactAt.end() && now - lastContact->second > renewalLimitUs;
-    });
+        if (lastContact != m_lastContactAt.end())
+            longestUs = std::max(longestUs, now - lastContact->second);
+    }
+    return longestUs;
+}
+
+// A hold and a start renew the leases of all runs of a backend server, so one run that has to end blocks the renewal of
+// all others.
+bool Commander::mayRenew(const Server &server, TimeUs now) const
+{
+    return longestSilence(server, now) <= renewalLimitUs;
+}
+
+// Ends of leases as sent with an order now, so that all runs of the backend server end in time.
+std::int64_t Commander::extendLeases(Server &server, TimeUs now) const
+{
+    const auto boundedUs = static_cast<TimeUs>(
+            static_cast<double>(latestLeaseEndUs - contactReserveUs - clockResolutionUs - longestSilence(server, now))
+            * minClockRate);
+    const TimeUs leaseUs = std::min(m_settings.maxLeaseUs, boundedUs);
+    server.leasesEndBy = std::max(server.leasesEndBy, now + leaseBound(leaseUs));
+    return clockNow(server, now) + leaseUs / usPerMs;
 }
 
 bool Commander::canStart(const Server &server, TimeUs now) const
@@ -349,8 +372,7 @@
     run.leavesAt = now + m_startDelay.queuedUs();
     run.token = server.token;
     order.token = server.token;
-    order.leaseEndMs = clockNow(server, now) + m_settings.maxLeaseUs / usPerMs;
-    server.leasesEndBy = std::max(server.leasesEndBy, now + leaseBound(m_settings.maxLeaseUs));
+    order.leaseEndMs = extendLeases(server, now);
     actions.push_back(std::move(order));
 }
 
--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -193,7 +193,9 @@
     void applyRunLists(TimeUs now, Server &server, const HoldResult &event, TimeUs sentAt, std::vector<Action> &actions,
                        std::vector<RunEndNotice> &ended);
     bool canStart(const Server &server, TimeUs now) const;
+    TimeUs longestSilence(const Server &server, TimeUs now) const;
     bool mayRenew(const Server &server, TimeUs now) const;
+    std::int64_t extendLeases(Server &server, TimeUs now) const;
     static void beginIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions,
                                  std::vector<RunEndNotice> &ended);
     static void acceptIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions,
--- a/packages/command/fleet_placing.cpp
+++ b/packages/command/fleet_placing.cpp
@@ -15,7 +15,7 @@
 constexpr TimeUs stalledMarginUs = 100 * usPerMs;
 constexpr TimeUs restartUs = 60 * usPerMs; // a stop takes 50 ms
 // Longest time that a run requested from a lost peer may continue: the peer detects the loss within a heartbeat of 150
-// ms, stops renewals 250 ms later, and the lease ends 1,022 ms after its last renewal.
+// ms, and its leases end 1,180 ms after the last contact.
 constexpr TimeUs lostPeerRunLimitUs = 1500 * usPerMs;
 // Longest time that a run may continue after its stop was requested: its lease, and the time to detect the loss of the
 // backend server or the peer.
--- a/tests/unit/command/fleet_dispatcher_test.cpp
+++ b/tests/unit/command/fleet_dispatcher_test.cpp
@@ -171,6 +171,35 @@
     }
 }
 
+// Guards against leases that last until a caller whose connection broke has submitted its job again elsewhere.
+TEST_CASE("a run that cannot be stopped ends before its caller returns, although everything takes its longest time")
+{
+    int alive = 0;
+    for (TimeUs offset = 0; offset < 500 * usPerMs; offset += 2 * usPerMs) {
+        FleetWorld world({.zones = {{"a", 3, 1, {500, 500, 90}}}});
+        const auto cut = [&](bool isCut) {
+            for (const int commander : {0, 1})
+                world.cutServer(commander, 0, isCut);
+        };
+        world.server(0).clockRate = 0.98;
+        world.start();
+        world.runFor(usPerS);
+        const CallerId caller = world.submit(2, {.id = makeJobId(8), .workUs = 5 * usPerS, .budgetUs = 20 * usPerS});
+        world.runFor(500 * usPerMs + offset);
+        REQUIRE(world.runCount() == 1);
+        world.runFor(50 * usPerMs); // until the front VM notices that the connection broke
+        cut(true);                  // the stops are lost
+        world.leave(2, caller);
+        world.runFor(243 * usPerMs);
+        cut(false);
+        world.runFor(8 * usPerMs);
+        cut(true);
+        world.runFor(999 * usPerMs);
+        alive += static_cast<int>(world.runCount());
+    }
+    CHECK(alive == 0);
+}
+
 // Guards against a second run of a task while the first is still being stopped.
 TEST_CASE("a job that is submitted again at once waits for the end of its stopped runs")
 {
