Match the end of a run by its backend server as well

What callers could see: two runs of one task (suspected in the postmortem, now shown).

Cause: a coordinator matched ends of runs by commander and run number. A process that has restarted under the same name counts from 1 again, so the end of a run that the earlier process had ordered could be taken for the end of the new run while its order was still on its way. The task was started again elsewhere, and then the order arrived.

Change: the end also has to name the backend server of the run, for running jobs and for runs that are being stopped. On the same backend server no confusion is possible: it rejects the number of a run that has ended there.

Evidence: the directed test fails without the change (two runs at the same time).

--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -97,6 +97,7 @@
     struct EndingRun
     {
         std::string node; // commander
+        std::string server;
         RunNumber run = 0;
         TimeUs endsBy = 0; // latest end, also without contact to the commander
     };
--- a/packages/command/fleet_placing.cpp
+++ b/packages/command/fleet_placing.cpp
@@ -275,9 +275,9 @@
     for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
         const Task &task = job.tasks[index];
         if (task.state == TaskState::Placed)
-            m_endingRuns[{job.id, index}] = {task.node, task.run, m_now + stoppedRunLimitUs};
+            m_endingRuns[{job.id, index}] = {task.node, task.server, task.run, m_now + stoppedRunLimitUs};
         else if (task.state == TaskState::Blocked)
-            m_endingRuns[{job.id, index}] = {task.node, task.run, task.retryAt};
+            m_endingRuns[{job.id, index}] = {task.node, task.server, task.run, task.retryAt};
     }
 }
 
@@ -290,6 +290,7 @@
         Task &task = job.tasks[index];
         task.state = TaskState::Blocked;
         task.node = found->second.node;
+        task.server = found->second.server;
         task.run = found->second.run;
         task.retryAt = found->second.endsBy;
         --job.waiting;
@@ -301,7 +302,8 @@
 void FleetDispatcher::onEndingRun(const std::string &node, const TaskEnded &ended)
 {
     const auto found = m_endingRuns.find(ended.task);
-    if (found == m_endingRuns.end() || found->second.node != node || found->second.run != ended.run)
+    if (found == m_endingRuns.end() || found->second.node != node || found->second.server != ended.server
+        || found->second.run != ended.run)
         return;
     if (ended.maxRemainingUs > 0)
         found->second.endsBy = m_now + ended.maxRemainingUs;
@@ -339,7 +341,8 @@
         return;
     Job &job = found->second;
     Task &task = job.tasks[ended.task.index];
-    const bool isCurrent = task.run == ended.run && task.node == node;
+    // An earlier process of this entry VM may have given the same number to a run on another backend server.
+    const bool isCurrent = task.run == ended.run && task.node == node && task.server == ended.server;
     if (!isCurrent || (task.state != TaskState::Placed && task.state != TaskState::Blocked))
         return;
     if (task.state == TaskState::Placed)
@@ -493,7 +496,7 @@
     }
     for (const auto &[task, run] : m_endingRuns) {
         if (run.node == node)
-            lost.push_back({task, run.run, RunEnd::Lost, lostPeerRunLimitUs, ""});
+            lost.push_back({task, run.run, RunEnd::Lost, lostPeerRunLimitUs, run.server});
     }
     for (const TaskEnded &end : lost)
         onTaskEnded(node, end, true);
--- a/tests/unit/command/fleet_dispatcher_test.cpp
+++ b/tests/unit/command/fleet_dispatcher_test.cpp
@@ -200,6 +200,30 @@
     CHECK(alive == 0);
 }
 
+// Guards against two runs when the end of a run that an earlier process of the entry VM has ordered arrives late.
+TEST_CASE("the end of a run on another backend server under the same number says nothing about a run")
+{
+    const WorldJob job{.id = makeJobId(8), .workUs = 500 * usPerMs};
+    std::string other;
+    for (const bool hasLateEnd : {false, true}) {
+        FleetWorld world({.zones = {{"a", 1, 2}, {"b", 1, 1}}});
+        world.start();
+        world.drainServer(2, true);
+        world.runFor(500 * usPerMs);
+        const CallerId caller = world.submit(1, job);
+        world.drainServer(2, false);
+        REQUIRE(world.startsOf(job.id) == 0); // the order is on its way
+        if (hasLateEnd)
+            world.deliver(1, PeerReceived{"vm-a0", TaskEnded{{job.id, 0}, 1, RunEnd::Stopped, 0, other}});
+        world.runFor(2 * usPerS);
+        CHECK(join(world.violations()).empty());
+        CHECK(world.startsOf(job.id) == 1);
+        other = world.startsOn(0) > 0 ? "s-1" : "s-0";
+        REQUIRE(world.answer(caller) != nullptr);
+        CHECK(world.answer(caller)->kind == Kind::Completed);
+    }
+}
+
 // Guards against a second run of a task while the first is still being stopped.
 TEST_CASE("a job that is submitted again at once waits for the end of its stopped runs")
 {
