--- a/tests/unit/command/fleet_dispatcher_test.cpp
+++ b/tests/unit/command/fleet_dispatcher_test.cpp
@@ -171,6 +171,59 @@
     }
 }
 
+// Guards against leases that last until a caller whose connection broke has submitted its job again elsewhere.
+TEST_CASE("a run that cannot be stopped ends before its caller returns, although everything takes its longest time")
+{
+    int alive = 0;
+    for (TimeUs offset = 0; offset < 500 * usPerMs; offset += 2 * usPerMs) {
+        FleetWorld world({.zones = {{"a", 3, 1, {500, 500, 90}}}});
+        const auto cut = [&](bool isCut) {
+            for (const int commander : {0, 1})
+                world.cutServer(commander, 0, isCut);
+        };
+        world.server(0).clockRate = 0.98;
+        world.start();
+        world.runFor(usPerS);
+        const CallerId caller = world.submit(2, {.id = makeJobId(8), .workUs = 5 * usPerS, .budgetUs = 20 * usPerS});
+        world.runFor(500 * usPerMs + offset);
+        REQUIRE(world.runCount() == 1);
+        world.runFor(50 * usPerMs); // until the front VM notices that the connection broke
+        cut(true);                  // the stops are lost
+        world.leave(2, caller);
+        world.runFor(243 * usPerMs);
+        cut(false);
+        world.runFor(8 * usPerMs);
+        cut(true);
+        world.runFor(999 * usPerMs);
+        alive += static_cast<int>(world.runCount());
+    }
+    CHECK(alive == 0);
+}
+
+// Guards against two runs when the end of a run that an earlier process of the entry VM has ordered arrives late.
+TEST_CASE("the end of a run on another backend server under the same number says nothing about a run")
+{
+    const WorldJob job{.id = makeJobId(8), .workUs = 500 * usPerMs};
+    std::string other;
+    for (const bool hasLateEnd : {false, true}) {
+        FleetWorld world({.zones = {{"a", 1, 2}, {"b", 1, 1}}});
+        world.start();
+        world.drainServer(2, true);
+        world.runFor(500 * usPerMs);
+        const CallerId caller = world.submit(1, job);
+        world.drainServer(2, false);
+        REQUIRE(world.startsOf(job.id) == 0); // the order is on its way
+        if (hasLateEnd)
+            world.deliver(1, PeerReceived{"vm-a0", TaskEnded{{job.id, 0}, 1, RunEnd::Stopped, 0, other}});
+        world.runFor(2 * usPerS);
+        CHECK(join(world.violations()).empty());
+        CHECK(world.startsOf(job.id) == 1);
+        other = world.startsOn(0) > 0 ? "s-1" : "s-0";
+        REQUIRE(world.answer(caller) != nullptr);
+        CHECK(world.answer(caller)->kind == Kind::Completed);
+    }
+}
+
 // Guards against a second run of a task while the first is still being stopped.
 TEST_CASE("a job that is submitted again at once waits for the end of its stopped runs")
 {
