Repeat stops under a new fencing token

What callers saw: a backend server that gets no more tasks, and runs there that end with their leases.

Cause: a stop that was sent under the earlier token of the same commander is rejected once the new token has arrived, and nothing sends it again when the run is not listed. A run whose start had no answer ends only after an answered stop, so it stays, blocks the renewal of leases and all starts on its backend server.

Change: stops of runs that are being stopped are sent again under the new token.

Evidence: the directed test fails without the change (the run still exists after 5 s and no task can be started) and passes with it.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -157,6 +157,7 @@
     server.nextProbeAt = never;
     ++m_capacityVersion;
     sendHold(now, server, false, 0, actions);
+    repeatStops(now, server, actions);
 }
 
 // Between two tokens of this entry VM another one may have commanded the backend server, and what has been learned
@@ -168,6 +169,19 @@
         ++m_capacityVersion;
     }
     sendHold(now, server, false, 0, actions);
+    repeatStops(now, server, actions);
+}
+
+// Stops under the earlier token may be rejected. A run whose start had no answer ends only once a stop is answered.
+void Commander::repeatStops(TimeUs now, const Server &server, std::vector<Action> &actions)
+{
+    for (const TaskId &task : server.runs) {
+        Run &run = m_runs.find(task)->second;
+        if (run.state != RunState::Stopping)
+            continue;
+        run.stopSentAt = now;
+        sendStop(now, server, task, run.number, actions);
+    }
 }
 
 void Commander::stopCommanding(TimeUs now, Server &server, std::vector<RunEndNotice> &ended)
--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -172,6 +172,7 @@
     bool isCommandedHere(const Server &server) const;
     void startCommanding(TimeUs now, Server &server, FencingToken token, std::vector<Action> &actions);
     void claimAgain(TimeUs now, Server &server, std::vector<Action> &actions);
+    void repeatStops(TimeUs now, const Server &server, std::vector<Action> &actions);
     void stopCommanding(TimeUs now, Server &server, std::vector<RunEndNotice> &ended);
     void abandonRuns(TimeUs now, Server &server, TimeUs endsBy, std::vector<RunEndNotice> &ended);
     void sendHold(TimeUs now, Server &server, bool withLease, std::int64_t waitMs, std::vector<Action> &actions);
--- a/tests/unit/command/commander_test.cpp
+++ b/tests/unit/command/commander_test.cpp
@@ -167,5 +167,34 @@
     CHECK(fixture.start("next"));
 }
 
+// Guards against a backend server that gets no tasks because a run whose stop was sent under an earlier token never ends.
+TEST_CASE("a stop that a backend server rejects after a new fencing token of the same commander is sent again")
+{
+    SingleServer fixture;
+    REQUIRE(fixture.start("a"));
+    fixture.answerHold(500000, 1000, {});
+    fixture.now += 150 * usPerMs;
+    fixture.startResult("a", OrderOutcome::Unknown, std::nullopt);
+    fixture.answerHold(500150, 1000, {});
+    fixture.actions.clear();
+    fixture.commander.assignShards(fixture.now, {2, 1, {0}}, fixture.actions, fixture.ended);
+    fixture.now += usPerMs;
+    fixture.commander.onStopResult(fixture.now, StopResult{"s-0", {"a", 0}, 1, OrderOutcome::Fenced, std::nullopt},
+                                   fixture.actions);
+    for (int i = 0; i < 50; ++i) { // 5 s
+        for (const SendStop &stop : pickAll<SendStop>(fixture.actions)) {
+            if (stop.token == 2)
+                fixture.commander.onStopResult(
+                        fixture.now, StopResult{"s-0", {"a", 0}, 1, OrderOutcome::Accepted, std::nullopt},
+                        fixture.actions);
+        }
+        fixture.answerHold(500151 + i * 100, 1000, {});
+        fixture.now += 100 * usPerMs;
+        fixture.commander.tick(fixture.now, fixture.actions, fixture.ended);
+    }
+    CHECK_FALSE(fixture.commander.hasRuns());
+    CHECK(fixture.start("b"));
+}
+
 } // namespace
 } // namespace clementinelift::command
