Charge a crash only to runs that were certainly at work

Callers saw jobs answered "failed" (crashed_backend_servers) although no two backend servers had crashed under one of their tasks.

Cause: all runs of a backend server that stopped answering were charged with its next crash, also when the crash came seconds after their leases had ended, or when their starts had never been carried out.

A crash is certain for a run only when its start was confirmed, no stop was sent, no end can have been missed since the last lists, and no lease can have expired. All others count as suspected. Two certain crashes make a job fail; certain, suspected and undecided losses together give it up at three. A loss counts when the backend server stops answering and is withdrawn when the same incarnation answers again, so that silent crashes under one submission are known to the next ones. Peers exchange the further counts as optional elements.

Ruled out: comparing the birth time of a new entry with the lease, as it is a wall clock.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -24,6 +24,7 @@
 // at latest 1,022 ms after the last renewal.
 constexpr TimeUs renewalLimitUs = 250 * usPerMs;
 constexpr TimeUs stopRepeatUs = 120 * usPerMs; // a stop takes 50 ms; while the run is still listed it is sent again
+constexpr TimeUs maxListAgeUs = 20 * usPerMs;  // lists are handled within a pass of the control thread
 constexpr TimeUs minFailureBlockUs = 700 * usPerMs; // after consecutive failed runs, doubled with each further one
 constexpr TimeUs maxFailureBlockUs = 3 * usPerS;
 constexpr std::uint32_t failuresBeforeBlock = 2; // one run in 500 fails by its own fault, two in a row are rare
@@ -89,7 +90,7 @@
         server.incarnationStartMs = entry.incarnationStartMs;
     ++m_capacityVersion;
     if (isNewIncarnation || isMoved) {
-        beginIncarnation(server, entry.incarnationStartMs, actions, ended);
+        beginIncarnation(now, server, entry.incarnationStartMs, actions, ended);
         server.missingAnswers = 0;
         server.failures = 0;
         server.blockedUntil = 0;
@@ -116,7 +117,7 @@
     ++m_capacityVersion;
     // An entry expires after some seconds of silence. With the missing answers, that is taken for a crash.
     if (server.stage == Stage::Suspect && !server.entry.draining)
-        reportCrash(server, ended);
+        reportCrash(now, server, ended);
     // A registry entry may also expire while its backend server still works, so runs are kept until their leases end.
     if (server.runs.empty())
         stopCommanding(now, server, ended);
@@ -153,6 +154,8 @@
     server.handingOver = false;
     server.token = token;
     server.missingAnswers = 0;
+    if (server.holdSequence != 0) // its answer is ignored
+        server.mayMissEnds = true;
     server.holdSequence = 0;
     server.nextProbeAt = never;
     ++m_capacityVersion;
@@ -173,7 +176,7 @@
 void Commander::stopCommanding(TimeUs now, Server &server, std::vector<RunEndNotice> &ended)
 {
     abandonRuns(now, server, server.leasesEndBy, ended);
-    server.givenUpTasks.clear();
+    server.givenUpRuns.clear();
     server.stage = Stage::Foreign;
     server.handingOver = false;
     server.holdSequence = 0;
@@ -206,16 +209,34 @@
 void Commander::giveUpRuns(TimeUs now, Server &server, TimeUs endsBy, std::vector<RunEndNotice> &ended)
 {
     dropHeldStarts(now, server, ended);
-    if (server.listed && !server.entry.draining) // a planned exit ends its runs as well
-        server.givenUpTasks.insert(server.givenUpTasks.end(), server.runs.begin(), server.runs.end());
+    if (server.listed && !server.entry.draining) { // a planned exit ends its runs as well
+        for (const TaskId &task : server.runs)
+            addGivenUpRun(server, task, m_runs.find(task)->second, ended);
+    }
     abandonRuns(now, server, endsBy, ended);
 }
 
-void Commander::reportCrash(Server &server, std::vector<RunEndNotice> &ended)
+// Counts at once, because a silent crash may become known only when the task has been started several times more.
+void Commander::addGivenUpRun(Server &server, const TaskId &task, const Run &run, std::vector<RunEndNotice> &ended)
+{
+    server.givenUpRuns.push_back({task, run.state == RunState::Running});
+    ended.push_back({{}, {task, 0, RunEnd::Lost, 0, server.entry.id}, CrashNotice::Lost});
+}
+
+void Commander::reportGivenUpRuns(Server &server, CrashNotice running, CrashNotice other,
+                                  std::vector<RunEndNotice> &ended)
+{
+    for (const GivenUpRun &run : std::exchange(server.givenUpRuns, {}))
+        ended.push_back({{}, {run.task, 0, RunEnd::Lost, 0, server.entry.id}, run.wasRunning ? running : other});
+}
+
+// The crash happened between the last lists and now. It is certain to have ended a run only when the run cannot have
+// ended in between by itself, by its lease or by a stop.
+void Commander::reportCrash(TimeUs now, Server &server, std::vector<RunEndNotice> &ended)
 {
-    for (TaskId &task : server.givenUpTasks)
-        ended.push_back({{}, {std::move(task), 0, RunEnd::Lost, 0, server.entry.id}, true});
-    server.givenUpTasks.clear();
+    const bool mayHaveEnded = server.mayMissEnds || now > server.leasesLastUntil;
+    reportGivenUpRuns(server, mayHaveEnded ? CrashNotice::Suspected : CrashNotice::Certain, CrashNotice::Suspected,
+                      ended);
 }
 
 // Orders --------------------------------------------------------------------------------------------
@@ -265,9 +286,12 @@
         order.leaseEndMs = clockNow(server, now) + m_settings.maxLeaseUs / usPerMs;
         server.leasesEndBy = now + leaseBound(m_settings.maxLeaseUs);
     }
+    if (server.holdSequence != 0) // the answer to the hold that is replaced is ignored
+        server.mayMissEnds = true;
     server.sentAcknowledgedEnd = server.acknowledgedEnd;
     server.holdSequence = order.sequence;
     server.holdSentAt = now;
+    server.holdTimeoutUs = order.timeoutUs;
     server.holdWithLease = order.leaseEndMs.has_value();
     server.nextProbeAt = never;
     actions.push_back(std::move(order));
@@ -414,8 +438,8 @@
 
 // The runs of the earlier incarnation have ended, but the new one may already have accepted starts, because its entry
 // and its lists arrive later. No run is ended here: the next lists tell which runs exist.
-void Commander::beginIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions,
-                                 std::vector<RunEndNotice> &ended)
+void Commander::beginIncarnation(TimeUs now, Server &server, std::int64_t incarnationStartMs,
+                                 std::vector<Action> &actions, std::vector<RunEndNotice> &ended)
 {
     actions.push_back(
             LogLine{false, "servers",
@@ -429,25 +453,26 @@
     // Its clock is behind the lease ends of these orders, so none of them is too late for it.
     for (UnconfirmedStart &start : server.unconfirmedStarts)
         start.until = never;
-    reportCrash(server, ended);
+    reportCrash(now, server, ended);
 }
 
 // The answer to the last hold comes from the present incarnation, whose start time may be earlier than that of the one
 // before: the time of day of a backend server may have been set back.
-void Commander::acceptIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions,
-                                  std::vector<RunEndNotice> &ended)
+void Commander::acceptIncarnation(TimeUs now, Server &server, std::int64_t incarnationStartMs,
+                                  std::vector<Action> &actions, std::vector<RunEndNotice> &ended)
 {
     if (incarnationStartMs == 0 || incarnationStartMs == server.incarnationStartMs)
         return;
     if (server.incarnationStartMs == 0)
         server.incarnationStartMs = incarnationStartMs;
     else
-        beginIncarnation(server, incarnationStartMs, actions, ended);
+        beginIncarnation(now, server, incarnationStartMs, actions, ended);
 }
 
 void Commander::applyRunLists(TimeUs now, Server &server, const HoldResult &event, TimeUs sentAt,
                               std::vector<Action> &actions, std::vector<RunEndNotice> &ended)
 {
+    const bool isRenewal = server.holdWithLease;
     const std::int64_t knownThrough = server.acknowledgedEnd;
     for (const EndedRun &end : event.ended) { // in no particular order
         if (end.number <= knownThrough)
@@ -494,17 +519,21 @@
         if (!isListed && run.acceptedAt < sentAt)
             vanished.push_back(task);
     }
+    const bool hasRestarted = std::exchange(server.hasRestarted, false);
     for (const TaskId &task : vanished) {
+        if (hasRestarted)
+            addGivenUpRun(server, task, m_runs.find(task)->second, ended);
         actions.push_back(
                 LogLine{true, "servers",
                         concat("backend server lists neither the run nor its end server=", server.entry.id,
                                " job=", task.job, " task=", task.index, " run=", m_runs.find(task)->second.number)});
         endRun(now, task, RunEnd::Lost, 0, ended);
     }
-    if (std::exchange(server.hasRestarted, false)) {
-        server.givenUpTasks = std::move(vanished);
-        reportCrash(server, ended);
-    }
+    reportCrash(now, server, ended);
+    // After a pause of this entry VM the lists are old.
+    server.mayMissEnds = event.clock && now - event.clock->receivedAt > maxListAgeUs;
+    if (isRenewal)
+        server.leasesLastUntil = std::max(server.leasesLastUntil, sentAt + shortestLease(m_settings.maxLeaseUs));
 
     if (server.stage == Stage::Claiming || server.stage == Stage::Suspect) {
         std::erase_if(server.unconfirmedStarts, [&](const UnconfirmedStart &start) { return now >= start.until; });
--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -37,7 +37,7 @@
 {
     std::string coordinator; // node, or selfNode
     TaskEnded ended;
-    bool isCrash = false; // the backend server has crashed under the run, whose end has been reported before
+    CrashNotice crash = CrashNotice::None; // otherwise the end of the run is reported with another notice
 };
 
 enum class Stage : std::uint8_t {
@@ -134,12 +134,17 @@
         RunNumber run = 0;
         TimeUs until = 0;
     };
+    struct GivenUpRun
+    {
+        TaskId task;
+        bool wasRunning = false; // its start was confirmed, and no stop was sent
+    };
     struct Server
     {
         ServerEntry entry;
         std::vector<UnconfirmedStart> unconfirmedStarts;
-        std::vector<SendStart> heldStarts; // sent once the backend server has listed its runs
-        std::vector<TaskId> givenUpTasks;  // without an answer; whether it has crashed under them shows later
+        std::vector<SendStart> heldStarts;   // sent once the backend server has listed its runs
+        std::vector<GivenUpRun> givenUpRuns; // without an answer; whether it has crashed under them shows later
         Stage stage = Stage::Foreign;
         bool listed = false;
         bool handingOver = false;  // its shard is assigned to another entry VM
@@ -156,9 +161,12 @@
         std::int64_t sentAcknowledgedEnd = 0; // of the last hold
         std::uint64_t holdSequence = 0;       // 0: no hold in progress
         TimeUs holdSentAt = 0;
+        TimeUs holdTimeoutUs = 0;
         bool holdWithLease = false;
         TimeUs nextProbeAt = never;       // when a hold is due without another cause
         TimeUs leasesEndBy = 0;           // all leases have certainly expired by then
+        TimeUs leasesLastUntil = 0;       // no lease has expired before
+        bool mayMissEnds = false;         // runs may have ended since the last lists without being seen
         std::int64_t clockMs = 0;         // lower bound of its clock at clockAt
         TimeUs clockAt = 0;               // 0: clock not known
         std::int64_t listedClockMs = 0;   // its clock in the last lists
@@ -182,7 +190,10 @@
     void stopRun(TimeUs now, const TaskId &task, Run &run, std::vector<Action> &actions);
     void endRun(TimeUs now, const TaskId &task, RunEnd end, TimeUs maxRemainingUs, std::vector<RunEndNotice> &ended);
     void giveUpRuns(TimeUs now, Server &server, TimeUs endsBy, std::vector<RunEndNotice> &ended);
-    static void reportCrash(Server &server, std::vector<RunEndNotice> &ended);
+    static void addGivenUpRun(Server &server, const TaskId &task, const Run &run, std::vector<RunEndNotice> &ended);
+    static void reportGivenUpRuns(Server &server, CrashNotice running, CrashNotice other,
+                                  std::vector<RunEndNotice> &ended);
+    static void reportCrash(TimeUs now, Server &server, std::vector<RunEndNotice> &ended);
     void recordRunEnd(TimeUs now, Server &server, const Run &run, RunEnd end);
     void readClock(Server &server, const ClockReading &reading, bool isOfLists);
     bool isBehind(const Server &server, const ClockReading &reading) const;
@@ -194,10 +205,10 @@
                        std::vector<RunEndNotice> &ended);
     bool canStart(const Server &server, TimeUs now) const;
     bool mayRenew(const Server &server, TimeUs now) const;
-    static void beginIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions,
-                                 std::vector<RunEndNotice> &ended);
-    static void acceptIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions,
-                                  std::vector<RunEndNotice> &ended);
+    static void beginIncarnation(TimeUs now, Server &server, std::int64_t incarnationStartMs,
+                                 std::vector<Action> &actions, std::vector<RunEndNotice> &ended);
+    static void acceptIncarnation(TimeUs now, Server &server, std::int64_t incarnationStartMs,
+                                  std::vector<Action> &actions, std::vector<RunEndNotice> &ended);
 
     CommanderSettings m_settings;
     std::vector<Server> m_servers;
--- a/packages/command/commander_answers.cpp
+++ b/packages/command/commander_answers.cpp
@@ -23,11 +23,14 @@
     server.holdSequence = 0;
     server.isRefusing = event.isRefused;
     const TimeUs sentAt = server.holdSentAt;
+    // Until its connection breaks, a hold reports each end.
+    if (event.outcome == OrderOutcome::Unknown && now - sentAt >= server.holdTimeoutUs)
+        server.mayMissEnds = true;
     switch (event.outcome) {
     case OrderOutcome::Accepted:
         server.missingAnswers = 0;
-        acceptIncarnation(server, event.incarnationStartMs, actions, ended);
-        server.givenUpTasks.clear(); // it has not crashed
+        acceptIncarnation(now, server, event.incarnationStartMs, actions, ended);
+        reportGivenUpRuns(server, CrashNotice::NotCrashed, CrashNotice::NotCrashed, ended);
         if (event.clock)
             readClock(server, *event.clock, true);
         applyRunLists(now, server, event, sentAt, actions, ended);
@@ -78,7 +81,7 @@
                         concat("another instance answers at the address of the backend server server=", server.entry.id,
                                " address=", server.entry.address, " runs=", server.runs.size())});
     giveUpRuns(now, server, now, ended);
-    reportCrash(server, ended);
+    reportCrash(now, server, ended);
     server.stage = Stage::Suspect;
     server.nextProbeAt = now + maxProbeIntervalUs;
     ++m_capacityVersion;
@@ -109,7 +112,7 @@
         ++m_capacityVersion;
     }
     if (server.isRefusing)
-        reportCrash(server, ended);
+        reportCrash(now, server, ended);
     if (server.holdSequence == 0)
         server.nextProbeAt =
                 now + std::min(minProbeIntervalUs << std::min(server.missingAnswers, 5U), maxProbeIntervalUs);
@@ -145,6 +148,7 @@
             if (server.stage == Stage::Usable)
                 sendHold(now, server, false, 0, actions);
         }
+        server.leasesLastUntil = std::max(server.leasesLastUntil, run.orderedAt + shortestLease(m_settings.maxLeaseUs));
         run.acceptedAt = std::min(run.acceptedAt, now);
         if (run.state == RunState::Starting)
             run.state = RunState::Running;
--- a/packages/command/commander_limits.h
+++ b/packages/command/commander_limits.h
@@ -17,4 +17,11 @@
     return static_cast<TimeUs>(static_cast<double>(leaseUs) / minClockRate) + clockResolutionUs;
 }
 
+// Shortest time that a lease lasts after its order was sent: its end is computed from a lower bound of the clock, which
+// may be behind by what an answer takes and by 2% of the time since.
+constexpr TimeUs shortestLease(TimeUs leaseUs)
+{
+    return leaseUs - leaseUs / 10;
+}
+
 } // namespace clementinelift::command::detail
--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -431,11 +431,15 @@
     }
     for (const CrashCount &crash : m_crashes.ofJob(kept.id)) {
         if (crash.task.index < kept.tasks.size())
-            kept.tasks[crash.task.index].crashes = crash.count;
+            kept.tasks[crash.task.index].crashes = crash.sum();
         if (crash.count >= maxCrashes) {
             failJob(kept, crashedBackendServers);
             return;
         }
+        if (crash.mustGiveUp()) {
+            giveUpJob(kept, suspectedCrashes);
+            return;
+        }
     }
     blockEndingTasks(kept);
     setInQueue(kept, kept.waiting > 0);
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -255,8 +255,8 @@
     void onEndingRun(const std::string &node, const TaskEnded &ended);
     void onTaskEnded(const std::string &node, const TaskEnded &ended, bool isPeerLost = false);
     void deliverRunEnds();
-    void onCrash(const TaskId &task, std::string_view server);
-    void setCrashes(const TaskId &task, std::uint32_t count);
+    void onCrash(const TaskId &task, std::string_view server, CrashNotice notice);
+    void setCrashes(const CrashCount &counts);
     void refuseHopelessJobs();
     void checkRunning();
 
--- a/packages/command/fleet_peers.cpp
+++ b/packages/command/fleet_peers.cpp
@@ -214,7 +214,7 @@
         confirmContact(node, peer);
     for (const CrashCount &crash : message.crashes) {
         if (m_crashes.merge(m_now, crash))
-            setCrashes(crash.task, crash.count);
+            setCrashes(m_crashes.find(crash.task));
     }
     std::erase_if(peer.inFlight, [&](const InFlight &order) {
         if (order.sequence > message.lastSequence)
--- a/packages/command/fleet_placing.cpp
+++ b/packages/command/fleet_placing.cpp
@@ -251,11 +251,11 @@
         m_ended.clear();
         m_dispatchNeeded = true;
         for (const RunEndNotice &end : ended) {
-            if (end.isCrash)
-                onCrash(end.ended.task, end.ended.server);
+            if (end.crash != CrashNotice::None)
+                onCrash(end.ended.task, end.ended.server, end.crash);
         }
         for (const RunEndNotice &end : ended) {
-            if (end.isCrash)
+            if (end.crash != CrashNotice::None)
                 continue;
             if (end.coordinator == selfNode) {
                 onTaskEnded(std::string(selfNode), end.ended);
@@ -310,25 +310,33 @@
 }
 
 // The commander counts, because it outlives many coordinators; the count reaches the coordinator with a report.
-void FleetDispatcher::onCrash(const TaskId &task, std::string_view server)
+void FleetDispatcher::onCrash(const TaskId &task, std::string_view server, CrashNotice notice)
 {
-    const std::uint32_t count = m_crashes.add(m_now, task);
-    logLine(true, "jobs",
-            concat("backend server crashed under a task job=", task.job, " task=", task.index, " server=", server,
-                   " crashes=", count));
-    setCrashes(task, count);
+    m_crashes.add(m_now, task, notice);
+    const CrashCount counts = m_crashes.find(task);
+    if (notice == CrashNotice::Certain || notice == CrashNotice::Suspected)
+        logLine(true, "jobs",
+                concat("backend server crashed under a task job=", task.job, " task=", task.index, " server=", server,
+                       " certain=", notice == CrashNotice::Certain ? 1 : 0, " crashes=", counts.count,
+                       " suspected=", counts.suspected));
+    setCrashes(counts);
 }
 
-// Applies a higher count to the task if its job is here. A job whose task may not be started again has failed.
-void FleetDispatcher::setCrashes(const TaskId &task, std::uint32_t count)
+// Applies higher counts to the task if its job is here. A job whose task may not be started again has failed when the
+// crashes are certain, and is given up otherwise.
+void FleetDispatcher::setCrashes(const CrashCount &counts)
 {
-    const auto found = m_jobs.find(task.job);
-    if (found == m_jobs.end() || task.index >= found->second.tasks.size())
+    const auto found = m_jobs.find(counts.task.job);
+    if (found == m_jobs.end() || counts.task.index >= found->second.tasks.size())
+        return;
+    Task &crashed = found->second.tasks[counts.task.index];
+    crashed.crashes = counts.sum();
+    if (crashed.state == TaskState::Done)
         return;
-    Task &crashed = found->second.tasks[task.index];
-    crashed.crashes = count;
-    if (count >= maxCrashes && crashed.state != TaskState::Done)
+    if (counts.count >= maxCrashes)
         failJob(found->second, crashedBackendServers);
+    else if (counts.mustGiveUp())
+        giveUpJob(found->second, suspectedCrashes);
 }
 
 void FleetDispatcher::onTaskEnded(const std::string &node, const TaskEnded &ended, bool isPeerLost)
--- a/packages/command/job.h
+++ b/packages/command/job.h
@@ -9,6 +9,8 @@
 
 // Reason of a job that is failed because backend servers have crashed under one of its tasks.
 constexpr std::string_view crashedBackendServers = "crashed_backend_servers";
+// Reason of a job that is given up because too many may have crashed under one of its tasks.
+constexpr std::string_view suspectedCrashes = "suspected_crashes";
 
 enum class TaskState : std::uint8_t {
     Waiting, // for free capacity
@@ -23,7 +25,7 @@
     RunNumber run = 0; // of the last order
     std::uint32_t failures = 0;
     std::uint32_t losses = 0;  // runs lost with their backend server
-    std::uint32_t crashes = 0; // of backend servers under the task; it needs one of its own when there are any
+    std::uint32_t crashes = 0; // also suspected ones; with any, the task needs a backend server of its own
     bool stopping = false;     // Placed: overdue, a stop of the run was requested
     std::string server;        // Placed
     std::string node;          // Placed: commander, empty: this entry VM
--- a/packages/net/fleet_codec.cpp
+++ b/packages/net/fleet_codec.cpp
@@ -54,7 +54,8 @@
     }
     Json crashes = Json::array();
     for (const command::CrashCount &crash : message.crashes)
-        crashes.push_back(Json::array({crash.task.job, crash.task.index, crash.count}));
+        crashes.push_back(Json::array(
+                {crash.task.job, crash.task.index, crash.count, crash.suspected, crash.lost, crash.decided}));
     return Json::array({Type::Room, message.sentAt, message.coordinates, message.stopping, message.lastSequence,
                         message.hasRecentContact, message.lossCount, std::move(capacities),
                         message.configurationVersion, message.wantsCapacity, message.startQueueUs, message.perStartUs,
@@ -244,10 +245,15 @@
             Elements items(row, 0);
             std::string job = items.text();
             const auto index = items.number<std::uint32_t>();
-            const auto count = items.number<std::uint32_t>();
+            command::CrashCount crash{{std::move(job), index}, items.number<std::uint32_t>()};
+            if (items.hasMore()) { // earlier versions do not send them
+                crash.suspected = items.number<std::uint32_t>();
+                crash.lost = items.number<std::uint32_t>();
+                crash.decided = items.number<std::uint32_t>();
+            }
             if (!items.isValid())
                 return false;
-            message.crashes.push_back({{std::move(job), index}, count});
+            message.crashes.push_back(std::move(crash));
         }
     }
     return fields.isValid();
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -7,7 +7,8 @@
 //     CHECK(world.violations().empty());
 //
 // The test oracle checks every start on a backend server and every answer to a caller: two runs of a task never
-// overlap, and a job that was refused has never run.
+// overlap, a job that was refused has never run, a job is failed for crashes only when two backend servers have crashed
+// under one of its tasks, and a task with three crashes is not started three times more.
 //
 // Contents
 //   Settings
@@ -291,6 +292,8 @@
         SimServer &server = m_servers[static_cast<std::size_t>(index)];
         server.up = false;
         server.refuses = refuses;
+        for (const auto &[task, run] : server.runs)
+            ++m_crashesUnder[task];
         server.runs.clear();
         server.ended.clear();
         for (const SimServer::Hold &hold : std::exchange(server.holds, {})) {
@@ -426,6 +429,20 @@
         const auto found = m_crashesBy.find(job);
         return found == m_crashesBy.end() ? 0 : found->second;
     }
+    // Backend servers that have crashed while the task was at work there.
+    int crashesUnder(const TaskId &task) const
+    {
+        const auto found = m_crashesUnder.find(task);
+        return found == m_crashesUnder.end() ? 0 : found->second;
+    }
+    // The most crashes under one task of the job.
+    int mostCrashesUnder(const std::string &job) const
+    {
+        int most = 0;
+        for (auto it = m_crashesUnder.lower_bound({job, 0}); it != m_crashesUnder.end() && it->first.job == job; ++it)
+            most = std::max(most, it->second);
+        return most;
+    }
     void setCrashesRefuse(bool refuse) { m_crashesRefuse = refuse; }
     // After the crash of a backend server by a task.
     void setRestart(TimeUs restartUs, TimeUs entryLostUs)
@@ -598,6 +615,8 @@
             m_violations.push_back("refused but started " + job);
         if (saysNotRun)
             m_refused.insert(job);
+        if (answer.kind == AnswerKind::Failed && answer.reason == crashedBackendServers && mostCrashesUnder(job) < 2)
+            m_violations.push_back("failed without two crashes under a task " + job);
         if (m_answerHandler)
             m_answerHandler(answer.caller, m_answers[answer.caller]);
     }
@@ -921,6 +940,9 @@
                 m_violations.push_back("two runs of " + task.job + "." + std::to_string(task.index) + " at "
                                        + std::to_string(m_now));
         }
+        if (crashesUnder(task) >= 3 && ++m_startsAfterCrashes[task] >= 3)
+            m_violations.push_back("started three times after three crashes " + task.job + "."
+                                   + std::to_string(task.index));
         if (m_refused.count(task.job) > 0 && m_refusals[task.job] == m_attempts[task.job])
             m_violations.push_back("started after its refusal " + task.job);
     }
@@ -943,9 +965,11 @@
     std::set<std::string> m_refused;
     std::map<std::string, std::uint64_t> m_startsOfJob;
     std::map<std::string, int> m_crashesBy; // by job
-    TimeUs m_restartUs = 3 * usPerS;        // until a backend server that a task has crashed is back
-    TimeUs m_entryLostUs = 3600 * usPerS;   // until its registry entry expires
-    bool m_crashesRefuse = true;            // connections to a backend server that a task has crashed are refused
+    std::map<TaskId, int> m_crashesUnder;   // of backend servers on which the task was at work
+    std::map<TaskId, int> m_startsAfterCrashes;
+    TimeUs m_restartUs = 3 * usPerS;      // until a backend server that a task has crashed is back
+    TimeUs m_entryLostUs = 3600 * usPerS; // until its registry entry expires
+    bool m_crashesRefuse = true;          // connections to a backend server that a task has crashed are refused
     std::map<int, std::uint64_t> m_startsOn;
     std::map<std::pair<int, int>, std::uint64_t> m_sentMessages; // by sender and receiver
     std::map<int, int> m_relayedConfigurations;                  // by receiver
