--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -24,7 +24,6 @@
 // at latest 1,022 ms after the last renewal.
 constexpr TimeUs renewalLimitUs = 250 * usPerMs;
 constexpr TimeUs stopRepeatUs = 120 * usPerMs; // a stop takes 50 ms; while the run is still listed it is sent again
-constexpr TimeUs maxListAgeUs = 20 * usPerMs;  // lists are handled within a pass of the control thread
 constexpr TimeUs minFailureBlockUs = 700 * usPerMs; // after consecutive failed runs, doubled with each further one
 constexpr TimeUs maxFailureBlockUs = 3 * usPerS;
 constexpr std::uint32_t failuresBeforeBlock = 2; // one run in 500 fails by its own fault, two in a row are rare
--- a/packages/command/commander_answers.cpp
+++ b/packages/command/commander_answers.cpp
@@ -23,8 +23,9 @@
     server.holdSequence = 0;
     server.isRefusing = event.isRefused;
     const TimeUs sentAt = server.holdSentAt;
-    // Until its connection breaks, a hold reports each end.
-    if (event.outcome == OrderOutcome::Unknown && now - sentAt >= server.holdTimeoutUs)
+    // Until its connection breaks, a hold reports each end; one that was not sent reports none.
+    const TimeUs seenUs = event.outcome == OrderOutcome::NotSent ? maxListAgeUs : server.holdTimeoutUs;
+    if ((event.outcome == OrderOutcome::NotSent || event.outcome == OrderOutcome::Unknown) && now - sentAt >= seenUs)
         server.mayMissEnds = true;
     switch (event.outcome) {
     case OrderOutcome::Accepted:
--- a/packages/command/commander_limits.h
+++ b/packages/command/commander_limits.h
@@ -11,6 +11,8 @@
 constexpr TimeUs maxProbeIntervalUs = 800 * usPerMs; // the same, after several missing answers
 constexpr TimeUs unhealthyBlockUs = 150 * usPerMs;   // after the answer "unhealthy"
 
+constexpr TimeUs maxListAgeUs = 20 * usPerMs; // lists are handled within a pass of the control thread
+
 // Longest time that a lease lasts on the clock of this entry VM.
 constexpr TimeUs leaseBound(TimeUs leaseUs)
 {
