--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -94,7 +94,7 @@
         server.incarnationStartMs = entry.incarnationStartMs;
     ++m_capacityVersion;
     if (isNewIncarnation || isMoved) {
-        beginIncarnation(server, entry.incarnationStartMs, actions, ended);
+        beginIncarnation(now, server, entry.incarnationStartMs, actions, ended);
         server.missingAnswers = 0;
         server.failures = 0;
         server.blockedUntil = 0;
@@ -121,7 +121,7 @@
     ++m_capacityVersion;
     // An entry expires after some seconds of silence. With the missing answers, that is taken for a crash.
     if (server.stage == Stage::Suspect && !server.entry.draining)
-        reportCrash(server, ended);
+        reportCrash(now, server, ended);
     // A registry entry may also expire while its backend server still works, so runs are kept until their leases end.
     if (server.runs.empty())
         stopCommanding(now, server, ended);
@@ -158,6 +158,8 @@
     server.handingOver = false;
     server.token = token;
     server.missingAnswers = 0;
+    if (server.holdSequence != 0) // its answer is ignored
+        server.mayMissEnds = true;
     server.holdSequence = 0;
     server.nextProbeAt = never;
     ++m_capacityVersion;
@@ -192,7 +194,7 @@
 void Commander::stopCommanding(TimeUs now, Server &server, std::vector<RunEndNotice> &ended)
 {
     abandonRuns(now, server, server.leasesEndBy, ended);
-    server.givenUpTasks.clear();
+    server.givenUpRuns.clear();
     server.stage = Stage::Foreign;
     server.handingOver = false;
     server.holdSequence = 0;
@@ -228,16 +230,34 @@
 void Commander::giveUpRuns(TimeUs now, Server &server, TimeUs endsBy, std::vector<RunEndNotice> &ended)
 {
     dropHeldStarts(now, server, ended);
-    if (server.listed && !server.entry.draining) // a planned exit ends its runs as well
-        server.givenUpTasks.insert(server.givenUpTasks.end(), server.runs.begin(), server.runs.end());
+    if (server.listed && !server.entry.draining) { // a planned exit ends its runs as well
+        for (const TaskId &task : server.runs)
+            addGivenUpRun(server, task, m_runs.find(task)->second, ended);
+    }
     abandonRuns(now, server, endsBy, ended);
 }
 
-void Commander::reportCrash(Server &server, std::vector<RunEndNotice> &ended)
+// Counts at once, because a silent crash may become known only when the task has been started several times more.
+void Commander::addGivenUpRun(Server &server, const TaskId &task, const Run &run, std::vector<RunEndNotice> &ended)
+{
+    server.givenUpRuns.push_back({task, run.state == RunState::Running});
+    ended.push_back({{}, {task, 0, RunEnd::Lost, 0, server.entry.id}, CrashNotice::Lost});
+}
+
+void Commander::reportGivenUpRuns(Server &server, CrashNotice running, CrashNotice other,
+                                  std::vector<RunEndNotice> &ended)
 {
-    for (TaskId &task : server.givenUpTasks)
-        ended.push_back({{}, {std::move(task), 0, RunEnd::Lost, 0, server.entry.id}, true});
-    server.givenUpTasks.clear();
+    for (const GivenUpRun &run : std::exchange(server.givenUpRuns, {}))
+        ended.push_back({{}, {run.task, 0, RunEnd::Lost, 0, server.entry.id}, run.wasRunning ? running : other});
+}
+
+// The crash happened between the last lists and now. It is certain to have ended a run only when the run cannot have
+// ended in between by itself, by its lease or by a stop.
+void Commander::reportCrash(TimeUs now, Server &server, std::vector<RunEndNotice> &ended)
+{
+    const bool mayHaveEnded = server.mayMissEnds || now > server.leasesLastUntil;
+    reportGivenUpRuns(server, mayHaveEnded ? CrashNotice::Suspected : CrashNotice::Certain, CrashNotice::Suspected,
+                      ended);
 }
 
 // Orders --------------------------------------------------------------------------------------------
@@ -283,12 +303,17 @@
     order.waitMs = waitMs;
     order.token = server.token;
     order.timeoutUs = waitMs * usPerMs + (waitMs > 0 ? holdAnswerMarginUs : answerTimeoutUs);
-    if (withLease && server.clockAt != 0 && mayRenew(server, now))
-        order.leaseEndMs = extendLeases(server, now);
+    server.holdLeaseUs = 0;
+    if (withLease && server.clockAt != 0 && mayRenew(server, now)) {
+        server.holdLeaseUs = extendLeases(server, now);
+        order.leaseEndMs = clockNow(server, now) + server.holdLeaseUs / usPerMs;
+    }
+    if (server.holdSequence != 0) // the answer to the hold that is replaced is ignored
+        server.mayMissEnds = true;
     server.sentAcknowledgedEnd = server.acknowledgedEnd;
     server.holdSequence = order.sequence;
     server.holdSentAt = now;
-    server.holdWithLease = order.leaseEndMs.has_value();
+    server.holdTimeoutUs = order.timeoutUs;
     server.nextProbeAt = never;
     actions.push_back(std::move(order));
 }
@@ -320,15 +345,15 @@
     return longestSilence(server, now) <= renewalLimitUs;
 }
 
-// Ends of leases as sent with an order now, so that all runs of the backend server end in time.
-std::int64_t Commander::extendLeases(Server &server, TimeUs now) const
+// Length of the leases that an order gives now, so that all runs of the backend server end in time.
+TimeUs Commander::extendLeases(Server &server, TimeUs now) const
 {
     const auto boundedUs = static_cast<TimeUs>(
             static_cast<double>(latestLeaseEndUs - contactReserveUs - clockResolutionUs - longestSilence(server, now))
             * minClockRate);
     const TimeUs leaseUs = std::min(m_settings.maxLeaseUs, boundedUs);
     server.leasesEndBy = std::max(server.leasesEndBy, now + leaseBound(leaseUs));
-    return clockNow(server, now) + leaseUs / usPerMs;
+    return leaseUs;
 }
 
 bool Commander::canStart(const Server &server, TimeUs now) const
@@ -389,7 +414,8 @@
     run.leavesAt = now + m_startDelay.queuedUs();
     run.token = server.token;
     order.token = server.token;
-    order.leaseEndMs = extendLeases(server, now);
+    run.leaseUs = extendLeases(server, now);
+    order.leaseEndMs = clockNow(server, now) + run.leaseUs / usPerMs;
     actions.push_back(std::move(order));
 }
 
@@ -453,8 +479,8 @@
 
 // The runs of the earlier incarnation have ended, but the new one may already have accepted starts, because its entry
 // and its lists arrive later. No run is ended here: the next lists tell which runs exist.
-void Commander::beginIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions,
-                                 std::vector<RunEndNotice> &ended)
+void Commander::beginIncarnation(TimeUs now, Server &server, std::int64_t incarnationStartMs,
+                                 std::vector<Action> &actions, std::vector<RunEndNotice> &ended)
 {
     actions.push_back(
             LogLine{false, "servers",
@@ -468,25 +494,26 @@
     // Its clock is behind the lease ends of these orders, so none of them is too late for it.
     for (UnconfirmedStart &start : server.unconfirmedStarts)
         start.until = never;
-    reportCrash(server, ended);
+    reportCrash(now, server, ended);
 }
 
 // The answer to the last hold comes from the present incarnation, whose start time may be earlier than that of the one
 // before: the time of day of a backend server may have been set back.
-void Commander::acceptIncarnation(Server &server, std::int64_t incarnationStartMs, std::vector<Action> &actions,
-                                  std::vector<RunEndNotice> &ended)
+void Commander::acceptIncarnation(TimeUs now, Server &server, std::int64_t incarnationStartMs,
+                                  std::vector<Action> &actions, std::vector<RunEndNotice> &ended)
 {
     if (incarnationStartMs == 0 || incarnationStartMs == server.incarnationStartMs)
         return;
     if (server.incarnationStartMs == 0)
         server.incarnationStartMs = incarnationStartMs;
     else
-        beginIncarnation(server, incarnationStartMs, actions, ended);
+        beginIncarnation(now, server, incarnationStartMs, actions, ended);
 }
 
 void Commander::applyRunLists(TimeUs now, Server &server, const HoldResult &event, TimeUs sentAt,
                               std::vector<Action> &actions, std::vector<RunEndNotice> &ended)
 {
+    const TimeUs renewedUs = server.holdLeaseUs;
     const std::int64_t knownThrough = server.acknowledgedEnd;
     for (const EndedRun &end : event.ended) { // in no particular order
         if (end.number <= knownThrough)
@@ -533,17 +560,21 @@
         if (!isListed && run.acceptedAt < sentAt)
             vanished.push_back(task);
     }
+    const bool hasRestarted = std::exchange(server.hasRestarted, false);
     for (const TaskId &task : vanished) {
+        if (hasRestarted)
+            addGivenUpRun(server, task, m_runs.find(task)->second, ended);
         actions.push_back(
                 LogLine{true, "servers",
                         concat("backend server lists neither the run nor its end server=", server.entry.id,
                                " job=", task.job, " task=", task.index, " run=", m_runs.find(task)->second.number)});
         endRun(now, task, RunEnd::Lost, 0, ended);
     }
-    if (std::exchange(server.hasRestarted, false)) {
-        server.givenUpTasks = std::move(vanished);
-        reportCrash(server, ended);
-    }
+    reportCrash(now, server, ended);
+    // After a pause of this entry VM the lists are old.
+    server.mayMissEnds = event.clock && now - event.clock->receivedAt > maxListAgeUs;
+    if (renewedUs > 0)
+        server.leasesLastUntil = std::max(server.leasesLastUntil, sentAt + shortestLease(renewedUs));
 
     if (server.stage == Stage::Claiming || server.stage == Stage::Suspect) {
         std::erase_if(server.unconfirmedStarts, [&](const UnconfirmedStart &start) { return now >= start.until; });
--- a/packages/command/commander_limits.h
+++ b/packages/command/commander_limits.h
@@ -11,10 +11,19 @@
 constexpr TimeUs maxProbeIntervalUs = 800 * usPerMs; // the same, after several missing answers
 constexpr TimeUs unhealthyBlockUs = 150 * usPerMs;   // after the answer "unhealthy"
 
+constexpr TimeUs maxListAgeUs = 20 * usPerMs; // lists are handled within a pass of the control thread
+
 // Longest time that a lease lasts on the clock of this entry VM.
 constexpr TimeUs leaseBound(TimeUs leaseUs)
 {
     return static_cast<TimeUs>(static_cast<double>(leaseUs) / minClockRate) + clockResolutionUs;
 }
 
+// Shortest time that a lease lasts after its order was sent: its end is computed from a lower bound of the clock, which
+// may be behind by what an answer takes and by 2% of the time since.
+constexpr TimeUs shortestLease(TimeUs leaseUs)
+{
+    return leaseUs - leaseUs / 10;
+}
+
 } // namespace clementinelift::command::detail
--- a/tests/unit/command/commander_test.cpp
+++ b/tests/unit/command/commander_test.cpp
@@ -120,6 +120,7 @@
     silent.server = "s-0";
     silent.sequence = fixture.lastHold();
     fixture.commander.onHoldResult(fixture.now, silent, fixture.actions, fixture.ended);
+    std::erase_if(fixture.ended, [](const RunEndNotice &end) { return end.crash != CrashNotice::None; });
     REQUIRE(fixture.ended.size() == 2);
     for (const RunEndNotice &end : fixture.ended) {
         CHECK(end.ended.end == RunEnd::Lost);
