Renew no lease after a stop while a backend server is claimed

What callers saw: nothing yet; the same class of fault as two runs of one task after a change of commanders.

Cause: the answer to a stop requests the lists at once, with a lease, when no hold is open. That is also the case while a backend server is claimed and has answered the claim with "unhealthy", so leases of runs of an earlier commander are renewed before they are listed.

Change: such a hold carries a lease only for a usable backend server.

Evidence: the directed test fails without the change (the hold has a lease) and passes with it.

--- a/packages/command/commander_answers.cpp
+++ b/packages/command/commander_answers.cpp
@@ -214,7 +214,7 @@
         // Lists requested from now on contain the end of the run, or nothing when the run never started.
         found->second.acceptedAt = std::min(found->second.acceptedAt, now);
         if (server.holdSequence == 0)
-            sendHold(now, server, true, 0, actions);
+            sendHold(now, server, server.stage == Stage::Usable, 0, actions);
         else
             server.nextProbeAt = std::min(server.nextProbeAt, now + 60 * usPerMs);
     } else if (found->second.state == RunState::Stopping && now > found->second.stopSentAt
--- a/tests/unit/command/commander_test.cpp
+++ b/tests/unit/command/commander_test.cpp
@@ -196,5 +196,29 @@
     CHECK(fixture.start("b"));
 }
 
+// Guards against leases that an answered stop renews for runs of another commander.
+TEST_CASE("the answer to a stop renews no lease before the backend server has listed its runs under a new token")
+{
+    SingleServer fixture;
+    REQUIRE(fixture.start("own"));
+    fixture.answerHold(500000, 1000, {});
+    fixture.startResult("own", OrderOutcome::Accepted, ClockReading{500000, fixture.now, fixture.now});
+    fixture.answerHold(500000, 1000, {{{"own", 0}, 1}});
+    fixture.commander.assignShards(fixture.now, {3, 1, {0}}, fixture.actions, fixture.ended);
+    HoldResult unhealthy;
+    unhealthy.server = "s-0";
+    unhealthy.sequence = fixture.lastHold();
+    unhealthy.outcome = OrderOutcome::Unhealthy;
+    fixture.commander.onHoldResult(fixture.now, unhealthy, fixture.actions, fixture.ended);
+    fixture.actions.clear();
+    fixture.commander.stopJob(fixture.now, selfNode, "own", fixture.actions);
+    fixture.now += 2 * usPerMs;
+    fixture.commander.onStopResult(fixture.now, StopResult{"s-0", {"own", 0}, 1, OrderOutcome::Accepted, std::nullopt},
+                                   fixture.actions);
+    const std::vector<SendHold> holds = pickAll<SendHold>(fixture.actions);
+    REQUIRE(holds.size() == 1);
+    CHECK_FALSE(holds.front().leaseEndMs.has_value());
+}
+
 } // namespace
 } // namespace clementinelift::command
