Hand over the runs of a backend server that is being claimed again

What callers saw: tasks that are started again, later by the rest of their leases, although their backend servers work on.

Cause: since a new fencing token claims a backend server again, it is not usable for a round trip, or longer without an answer. When its shard is taken away within that time, its runs are reported as lost instead of being handed over, as only usable backend servers were.

Change: a backend server with runs that is being claimed hands its shard over as a usable one does.

Evidence: the directed test fails without the change (the run is reported as lost at once) and passes with it.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -139,7 +139,7 @@
                 startCommanding(now, server, assigned.token, actions);
             else if (server.stage != Stage::Fenced && isNewToken)
                 claimAgain(now, server, actions);
-        } else if (server.stage == Stage::Usable && !server.runs.empty()) {
+        } else if ((server.stage == Stage::Usable || server.stage == Stage::Claiming) && !server.runs.empty()) {
             server.handingOver = true;
         } else if (server.stage != Stage::Foreign) {
             stopCommanding(now, server, ended);
--- a/tests/unit/command/commander_test.cpp
+++ b/tests/unit/command/commander_test.cpp
@@ -220,5 +220,36 @@
     CHECK_FALSE(holds.front().leaseEndMs.has_value());
 }
 
+// Guards against tasks that run again because their backend server was reassigned twice within a round trip.
+TEST_CASE("shards that are taken away while a backend server is claimed again are handed over with their runs")
+{
+    SingleServer fixture;
+    REQUIRE(fixture.start("own"));
+    fixture.answerHold(500000, 1000, {});
+    fixture.startResult("own", OrderOutcome::Accepted, ClockReading{500000, fixture.now, fixture.now});
+    fixture.answerHold(500000, 1000, {{{"own", 0}, 1}});
+    fixture.commander.assignShards(fixture.now, {2, 1, {0}}, fixture.actions, fixture.ended);
+    fixture.commander.assignShards(fixture.now, {3, 1, {}}, fixture.actions, fixture.ended);
+    CHECK(fixture.ended.empty());
+    CHECK(fixture.commander.hasRunsToHandOver());
+    fixture.now += 2 * usPerMs;
+    fixture.answerHold(500002, 1000, {{{"own", 0}, 1}});
+    CHECK(fixture.ended.empty());
+    CHECK_FALSE(fixture.start("next"));
+    fixture.now += 400 * usPerMs;
+    HoldResult done;
+    done.server = "s-0";
+    done.sequence = fixture.lastHold();
+    done.outcome = OrderOutcome::Accepted;
+    done.clock = ClockReading{500402, fixture.now, fixture.now};
+    done.incarnationStartMs = 1000;
+    done.ended = {{1, {"own", 0}, 1, RunEnd::Done}};
+    fixture.commander.onHoldResult(fixture.now, done, fixture.actions, fixture.ended);
+    REQUIRE(fixture.ended.size() == 1);
+    CHECK(fixture.ended.front().ended.end == RunEnd::Done);
+    fixture.answerHold(500403, 1000, {});
+    CHECK_FALSE(fixture.commander.isCommanded("s-0"));
+}
+
 } // namespace
 } // namespace clementinelift::command
