Claim a backend server again when it lists unknown runs

What callers saw: nothing yet; the same class of fault as two runs of one task after a change of commanders.

Cause: while a usable backend server listed runs that its commander does not know, the next hold and all starts there extended the leases of these runs as well. An earlier commander can have started them after a restart, in which the higher token is forgotten, and reports them as lost by its own last lease.

Change: such a backend server is not usable until the unknown runs have ended, as when it is claimed for the first time.

Evidence: the directed test fails without the change (the hold that follows the lists has a lease) and passes with it.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -520,6 +520,11 @@
         reportCrash(server, ended);
     }
 
+    // Starts and holds would extend the leases of these runs, which their commander may have reported as lost.
+    if (unknownRuns > 0 && server.stage == Stage::Usable) {
+        server.stage = Stage::Claiming;
+        ++m_capacityVersion;
+    }
     if (server.stage == Stage::Claiming || server.stage == Stage::Suspect) {
         std::erase_if(server.unconfirmedStarts, [&](const UnconfirmedStart &start) { return now >= start.until; });
         for (const UnconfirmedStart &start : server.unconfirmedStarts)
--- a/tests/unit/command/commander_test.cpp
+++ b/tests/unit/command/commander_test.cpp
@@ -251,5 +251,21 @@
     CHECK_FALSE(fixture.commander.isCommanded("s-0"));
 }
 
+// Guards against renewed leases of runs that another commander has started after a restart unknown to this one.
+TEST_CASE("no lease is renewed while a usable backend server lists unknown runs")
+{
+    SingleServer fixture;
+    REQUIRE(fixture.start("own"));
+    fixture.answerHold(500000, 1000, {});
+    fixture.startResult("own", OrderOutcome::Accepted, ClockReading{500000, fixture.now, fixture.now});
+    fixture.answerHold(500000, 1000, {{{"own", 0}, 1}});
+    fixture.now += 400 * usPerMs;
+    fixture.answerHold(500400, 1000, {{{"own", 0}, 1}, {{"other", 0}, 7}});
+    CHECK_FALSE(pickAll<SendHold>(fixture.actions).back().leaseEndMs.has_value());
+    fixture.now += 50 * usPerMs;
+    fixture.answerHold(500450, 1000, {{{"own", 0}, 1}});
+    CHECK(pickAll<SendHold>(fixture.actions).back().leaseEndMs.has_value());
+}
+
 } // namespace
 } // namespace clementinelift::command
