Keep the end of earlier leases when the longest lease gets shorter

What callers saw: nothing yet; a run that is reported as lost could outlive its bound by the difference, and its task run twice.

Cause: a hold under a shorter longest lease moved the bound of all leases of its backend server back. Leases never get shorter.

Change: the bound only moves forward, as for starts.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -277,7 +277,7 @@
     order.timeoutUs = waitMs * usPerMs + (waitMs > 0 ? holdAnswerMarginUs : answerTimeoutUs);
     if (withLease && server.clockAt != 0 && mayRenew(server, now)) {
         order.leaseEndMs = clockNow(server, now) + m_settings.maxLeaseUs / usPerMs;
-        server.leasesEndBy = now + leaseBound(m_settings.maxLeaseUs);
+        server.leasesEndBy = std::max(server.leasesEndBy, now + leaseBound(m_settings.maxLeaseUs));
     }
     server.sentAcknowledgedEnd = server.acknowledgedEnd;
     server.holdSequence = order.sequence;
--- a/tests/unit/command/commander_test.cpp
+++ b/tests/unit/command/commander_test.cpp
@@ -267,5 +267,27 @@
     CHECK(pickAll<SendHold>(fixture.actions).back().leaseEndMs.has_value());
 }
 
+// Guards against runs that outlive the reported bound of their leases after the longest lease was shortened.
+TEST_CASE("a shorter longest lease does not end leases that were given before")
+{
+    SingleServer fixture;
+    REQUIRE(fixture.start("own"));
+    fixture.answerHold(500000, 1000, {});
+    fixture.startResult("own", OrderOutcome::Accepted, ClockReading{500000, fixture.now, fixture.now});
+    fixture.answerHold(500000, 1000, {{{"own", 0}, 1}});
+    REQUIRE(pickAll<SendHold>(fixture.actions).back().leaseEndMs == 501000);
+    fixture.commander.setMaxLease(300 * usPerMs);
+    fixture.now += 100 * usPerMs;
+    fixture.answerHold(500100, 1000, {{{"own", 0}, 1}});
+    fixture.commander.assignShards(fixture.now, {2, 1, {}}, fixture.actions, fixture.ended);
+    HoldResult fenced;
+    fenced.server = "s-0";
+    fenced.sequence = fixture.lastHold();
+    fenced.outcome = OrderOutcome::Fenced;
+    fixture.commander.onHoldResult(fixture.now, fenced, fixture.actions, fixture.ended);
+    REQUIRE(fixture.ended.size() == 1);
+    CHECK(fixture.ended.front().ended.maxRemainingUs >= 900 * usPerMs);
+}
+
 } // namespace
 } // namespace clementinelift::command
