Keep a fenced commander from claiming a backend server again after a restart

What callers saw: nothing yet; the same class of fault as two runs of one task after a change of commanders.

Cause: a backend server forgets the highest token in a restart. Its new entry made a commander whose token had been rejected claim it again under that token, so two entry VMs could command it until the other one sent its next order.

Change: a rejected token stays rejected; only a higher one claims the backend server again.

Evidence: the directed test fails without the change (the claim is sent) and passes with it.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -93,7 +93,7 @@
         server.missingAnswers = 0;
         server.failures = 0;
         server.blockedUntil = 0;
-        if (server.stage != Stage::Foreign)
+        if (server.stage != Stage::Foreign && server.stage != Stage::Fenced)
             startCommanding(now, server, server.token, actions);
     } else if (server.stage == Stage::Foreign && isCommandedHere(server)) {
         startCommanding(now, server, m_shards.token, actions);
--- a/tests/unit/command/commander_test.cpp
+++ b/tests/unit/command/commander_test.cpp
@@ -289,5 +289,21 @@
     CHECK(fixture.ended.front().ended.maxRemainingUs >= 900 * usPerMs);
 }
 
+// Guards against two commanders of a backend server that has forgotten the higher token in a restart.
+TEST_CASE("a restart does not let a fenced commander claim the backend server again under the same token")
+{
+    SingleServer fixture;
+    HoldResult fenced;
+    fenced.server = "s-0";
+    REQUIRE(fixture.start("own")); // opens a hold
+    fenced.sequence = fixture.lastHold();
+    fenced.outcome = OrderOutcome::Fenced;
+    fixture.commander.onHoldResult(fixture.now, fenced, fixture.actions, fixture.ended);
+    fixture.actions.clear();
+    fixture.entry.incarnationStartMs = 2000;
+    fixture.commander.addServer(fixture.now, fixture.entry, fixture.actions, fixture.ended);
+    CHECK(pickAll<SendHold>(fixture.actions).empty());
+}
+
 } // namespace
 } // namespace clementinelift::command
