--- a/tests/unit/command/commander_test.cpp
+++ b/tests/unit/command/commander_test.cpp
@@ -167,7 +167,7 @@
     CHECK(fixture.start("next"));
 }
 
-// Guards against a backend server that gets no tasks because a run whose stop was sent under an earlier token never ends.
+// Guards against a run that never ends and blocks its backend server, as its stop was sent under an earlier token.
 TEST_CASE("a stop that a backend server rejects after a new fencing token of the same commander is sent again")
 {
     SingleServer fixture;
@@ -184,9 +184,9 @@
     for (int i = 0; i < 50; ++i) { // 5 s
         for (const SendStop &stop : pickAll<SendStop>(fixture.actions)) {
             if (stop.token == 2)
-                fixture.commander.onStopResult(
-                        fixture.now, StopResult{"s-0", {"a", 0}, 1, OrderOutcome::Accepted, std::nullopt},
-                        fixture.actions);
+                fixture.commander.onStopResult(fixture.now,
+                                               StopResult{"s-0", {"a", 0}, 1, OrderOutcome::Accepted, std::nullopt},
+                                               fixture.actions);
         }
         fixture.answerHold(500151 + i * 100, 1000, {});
         fixture.now += 100 * usPerMs;
