--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -98,7 +98,7 @@
         server.missingAnswers = 0;
         server.failures = 0;
         server.blockedUntil = 0;
-        if (server.stage != Stage::Foreign)
+        if (server.stage != Stage::Foreign && server.stage != Stage::Fenced)
             startCommanding(now, server, server.token, actions);
     } else if (server.stage == Stage::Foreign && isCommandedHere(server)) {
         startCommanding(now, server, m_shards.token, actions);
@@ -144,7 +144,7 @@
                 startCommanding(now, server, assigned.token, actions);
             else if (server.stage != Stage::Fenced && isNewToken)
                 claimAgain(now, server, actions);
-        } else if (server.stage == Stage::Usable && !server.runs.empty()) {
+        } else if ((server.stage == Stage::Usable || server.stage == Stage::Claiming) && !server.runs.empty()) {
             server.handingOver = true;
         } else if (server.stage != Stage::Foreign) {
             stopCommanding(now, server, ended);
@@ -576,6 +576,11 @@
     if (renewedUs > 0)
         server.leasesLastUntil = std::max(server.leasesLastUntil, sentAt + shortestLease(renewedUs));
 
+    // Starts and holds would extend the leases of these runs, which their commander may have reported as lost.
+    if (unknownRuns > 0 && server.stage == Stage::Usable) {
+        server.stage = Stage::Claiming;
+        ++m_capacityVersion;
+    }
     if (server.stage == Stage::Claiming || server.stage == Stage::Suspect) {
         std::erase_if(server.unconfirmedStarts, [&](const UnconfirmedStart &start) { return now >= start.until; });
         for (const UnconfirmedStart &start : server.unconfirmedStarts)
--- a/tests/unit/command/commander_test.cpp
+++ b/tests/unit/command/commander_test.cpp
@@ -190,7 +190,7 @@
     CHECK(fixture.start("next"));
 }
 
-// Guards against a backend server that gets no tasks because a run whose stop was sent under an earlier token never ends.
+// Guards against a run that never ends and blocks its backend server, as its stop was sent under an earlier token.
 TEST_CASE("a stop that a backend server rejects after a new fencing token of the same commander is sent again")
 {
     SingleServer fixture;
@@ -207,9 +207,9 @@
     for (int i = 0; i < 50; ++i) { // 5 s
         for (const SendStop &stop : pickAll<SendStop>(fixture.actions)) {
             if (stop.token == 2)
-                fixture.commander.onStopResult(
-                        fixture.now, StopResult{"s-0", {"a", 0}, 1, OrderOutcome::Accepted, std::nullopt},
-                        fixture.actions);
+                fixture.commander.onStopResult(fixture.now,
+                                               StopResult{"s-0", {"a", 0}, 1, OrderOutcome::Accepted, std::nullopt},
+                                               fixture.actions);
         }
         fixture.answerHold(500151 + i * 100, 1000, {});
         fixture.now += 100 * usPerMs;
@@ -219,5 +219,114 @@
     CHECK(fixture.start("b"));
 }
 
+// Guards against leases that an answered stop renews for runs of another commander.
+TEST_CASE("the answer to a stop renews no lease before the backend server has listed its runs under a new token")
+{
+    SingleServer fixture;
+    REQUIRE(fixture.start("own"));
+    fixture.answerHold(500000, 1000, {});
+    fixture.startResult("own", OrderOutcome::Accepted, ClockReading{500000, fixture.now, fixture.now});
+    fixture.answerHold(500000, 1000, {{{"own", 0}, 1}});
+    fixture.commander.assignShards(fixture.now, {3, 1, {0}}, fixture.actions, fixture.ended);
+    HoldResult unhealthy;
+    unhealthy.server = "s-0";
+    unhealthy.sequence = fixture.lastHold();
+    unhealthy.outcome = OrderOutcome::Unhealthy;
+    fixture.commander.onHoldResult(fixture.now, unhealthy, fixture.actions, fixture.ended);
+    fixture.actions.clear();
+    fixture.commander.stopJob(fixture.now, selfNode, "own", fixture.actions);
+    fixture.now += 2 * usPerMs;
+    fixture.commander.onStopResult(fixture.now, StopResult{"s-0", {"own", 0}, 1, OrderOutcome::Accepted, std::nullopt},
+                                   fixture.actions);
+    const std::vector<SendHold> holds = pickAll<SendHold>(fixture.actions);
+    REQUIRE(holds.size() == 1);
+    CHECK_FALSE(holds.front().leaseEndMs.has_value());
+}
+
+// Guards against tasks that run again because their backend server was reassigned twice within a round trip.
+TEST_CASE("shards that are taken away while a backend server is claimed again are handed over with their runs")
+{
+    SingleServer fixture;
+    REQUIRE(fixture.start("own"));
+    fixture.answerHold(500000, 1000, {});
+    fixture.startResult("own", OrderOutcome::Accepted, ClockReading{500000, fixture.now, fixture.now});
+    fixture.answerHold(500000, 1000, {{{"own", 0}, 1}});
+    fixture.commander.assignShards(fixture.now, {2, 1, {0}}, fixture.actions, fixture.ended);
+    fixture.commander.assignShards(fixture.now, {3, 1, {}}, fixture.actions, fixture.ended);
+    CHECK(fixture.ended.empty());
+    CHECK(fixture.commander.hasRunsToHandOver());
+    fixture.now += 2 * usPerMs;
+    fixture.answerHold(500002, 1000, {{{"own", 0}, 1}});
+    CHECK(fixture.ended.empty());
+    CHECK_FALSE(fixture.start("next"));
+    fixture.now += 400 * usPerMs;
+    HoldResult done;
+    done.server = "s-0";
+    done.sequence = fixture.lastHold();
+    done.outcome = OrderOutcome::Accepted;
+    done.clock = ClockReading{500402, fixture.now, fixture.now};
+    done.incarnationStartMs = 1000;
+    done.ended = {{1, {"own", 0}, 1, RunEnd::Done}};
+    fixture.commander.onHoldResult(fixture.now, done, fixture.actions, fixture.ended);
+    REQUIRE(fixture.ended.size() == 1);
+    CHECK(fixture.ended.front().ended.end == RunEnd::Done);
+    fixture.answerHold(500403, 1000, {});
+    CHECK_FALSE(fixture.commander.isCommanded("s-0"));
+}
+
+// Guards against renewed leases of runs that another commander has started after a restart unknown to this one.
+TEST_CASE("no lease is renewed while a usable backend server lists unknown runs")
+{
+    SingleServer fixture;
+    REQUIRE(fixture.start("own"));
+    fixture.answerHold(500000, 1000, {});
+    fixture.startResult("own", OrderOutcome::Accepted, ClockReading{500000, fixture.now, fixture.now});
+    fixture.answerHold(500000, 1000, {{{"own", 0}, 1}});
+    fixture.now += 400 * usPerMs;
+    fixture.answerHold(500400, 1000, {{{"own", 0}, 1}, {{"other", 0}, 7}});
+    CHECK_FALSE(pickAll<SendHold>(fixture.actions).back().leaseEndMs.has_value());
+    fixture.now += 50 * usPerMs;
+    fixture.answerHold(500450, 1000, {{{"own", 0}, 1}});
+    CHECK(pickAll<SendHold>(fixture.actions).back().leaseEndMs.has_value());
+}
+
+// Guards against runs that outlive the reported bound of their leases after the longest lease was shortened.
+TEST_CASE("a shorter longest lease does not end leases that were given before")
+{
+    SingleServer fixture;
+    REQUIRE(fixture.start("own"));
+    fixture.answerHold(500000, 1000, {});
+    fixture.startResult("own", OrderOutcome::Accepted, ClockReading{500000, fixture.now, fixture.now});
+    fixture.answerHold(500000, 1000, {{{"own", 0}, 1}});
+    REQUIRE(pickAll<SendHold>(fixture.actions).back().leaseEndMs == 501000);
+    fixture.commander.setMaxLease(300 * usPerMs);
+    fixture.now += 100 * usPerMs;
+    fixture.answerHold(500100, 1000, {{{"own", 0}, 1}});
+    fixture.commander.assignShards(fixture.now, {2, 1, {}}, fixture.actions, fixture.ended);
+    HoldResult fenced;
+    fenced.server = "s-0";
+    fenced.sequence = fixture.lastHold();
+    fenced.outcome = OrderOutcome::Fenced;
+    fixture.commander.onHoldResult(fixture.now, fenced, fixture.actions, fixture.ended);
+    REQUIRE(fixture.ended.size() == 1);
+    CHECK(fixture.ended.front().ended.maxRemainingUs >= 900 * usPerMs);
+}
+
+// Guards against two commanders of a backend server that has forgotten the higher token in a restart.
+TEST_CASE("a restart does not let a fenced commander claim the backend server again under the same token")
+{
+    SingleServer fixture;
+    HoldResult fenced;
+    fenced.server = "s-0";
+    REQUIRE(fixture.start("own")); // opens a hold
+    fenced.sequence = fixture.lastHold();
+    fenced.outcome = OrderOutcome::Fenced;
+    fixture.commander.onHoldResult(fixture.now, fenced, fixture.actions, fixture.ended);
+    fixture.actions.clear();
+    fixture.entry.incarnationStartMs = 2000;
+    fixture.commander.addServer(fixture.now, fixture.entry, fixture.actions, fixture.ended);
+    CHECK(pickAll<SendHold>(fixture.actions).empty());
+}
+
 } // namespace
 } // namespace clementinelift::command
