Report no usable backend server while nothing is started after a pause

Cause: a commander that has resumed from a pause starts nothing for 100 ms, but goes on reporting its backend servers as usable. Each rejection came with a report that freed the reservation at the coordinator, which ordered the same tasks at the same place again.

Change: until it starts tasks again, a commander reports none of its backend servers as usable, also in the report that comes with a rejection, so tasks go elsewhere or wait for the next report.

Evidence: a pause of 500 ms and 20 tasks in 4 jobs.

--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -74,7 +74,7 @@
 {
     const bool hasTimeLimits = !m_jobs.empty() || !m_queuedRequests.empty() || !m_endingRuns.empty()
             || m_commander.hasRuns() || m_drainingSince != never;
-    const bool hasUnreportedCapacity = m_commander.capacityVersion() != m_seenCapacityVersion;
+    const bool hasUnreportedCapacity = m_commander.capacityVersion() != m_seenCapacityVersion || m_reportsUnusable;
     const bool isStartingUp = m_now - m_startedAt < startUpUs && !isReady();
     return hasTimeLimits || hasUnreportedCapacity || isStartingUp;
 }
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -305,6 +305,7 @@
     TimeUs m_gapBegan = 0;      // last long gap between events
     TimeUs m_gapEnded = 0;
     std::uint64_t m_seenCapacityVersion = 0; // capacityVersion() of the commander when m_reported was updated
+    bool m_reportsUnusable = false;          // m_reported names no usable backend server, after a pause
     std::uint64_t m_reportVersion = 0;       // of the last update of m_reported
     std::map<std::string, ReportedCapacity, std::less<>> m_reported;
     std::map<std::string, Announced, std::less<>> m_announced;
--- a/packages/command/fleet_peers.cpp
+++ b/packages/command/fleet_peers.cpp
@@ -173,7 +173,8 @@
         logLine(false, "peers",
                 concat("order rejected as too old job=", message.job, " node=", node,
                        " echo_age_ms=", (m_now - message.echo) / usPerMs));
-        sendReport(node, peer, false); // the next order echoes it
+        updateReportedCapacities();
+        sendReport(node, peer, m_reportsUnusable); // the next order echoes it
     } else {
         confirmContact(node, peer);
     }
@@ -254,16 +255,20 @@
     }
 }
 
-// Updates m_reported with the capacities that have changed since the last call.
+// Updates m_reported with the capacities that have changed since the last call. While no task is started after a pause,
+// none is reported as usable, so that peers place their tasks elsewhere.
 void FleetDispatcher::updateReportedCapacities()
 {
-    if (m_commander.capacityVersion() == m_seenCapacityVersion)
+    const bool isResuming = m_now < m_noStartsUntil;
+    if (m_commander.capacityVersion() == m_seenCapacityVersion && isResuming == m_reportsUnusable)
         return;
+    m_reportsUnusable = isResuming;
     m_seenCapacityVersion = m_commander.capacityVersion();
     ++m_reportVersion;
     std::set<std::string_view> present;
-    const std::vector<CapacityReport::ServerCapacity> capacities = m_commander.capacities(m_now);
-    for (const CapacityReport::ServerCapacity &capacity : capacities) {
+    std::vector<CapacityReport::ServerCapacity> capacities = m_commander.capacities(m_now);
+    for (CapacityReport::ServerCapacity &capacity : capacities) {
+        capacity.usable = capacity.usable && !isResuming;
         present.insert(capacity.server);
         const auto [reported, isNew] = m_reported.try_emplace(capacity.server);
         if (isNew || !isSameCapacity(reported->second.capacity, capacity))
--- a/tests/unit/command/repetition_test.cpp
+++ b/tests/unit/command/repetition_test.cpp
@@ -289,5 +289,30 @@
     CHECK(core.count<AnswerCaller>() == 1);
 }
 
+// Guards against orders to a commander that has resumed from a pause and starts nothing yet.
+TEST_CASE("a commander that has resumed from a pause is asked for starts only once it starts tasks again")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        FleetWorld world({.zones = {{"a", 2, 8}}, .seed = seed});
+        world.start();
+        world.runFor(usPerS);
+        world.freeze(1, 500 * usPerMs);
+        world.runFor(480 * usPerMs);
+        std::vector<CallerId> callers;
+        for (std::uint64_t number = 1; number <= 4; ++number)
+            callers.push_back(
+                    world.submit(0, {.id = makeJobId(number), .tasks = 5, .workUs = 300 * usPerMs, .path = "/m/"}));
+        world.runFor(120 * usPerMs);
+        INFO("seed " << seed);
+        CHECK(world.core(0).counters().remoteRefusals <= 20); // each task once
+        world.runFor(3 * usPerS);
+        for (const CallerId caller : callers) {
+            REQUIRE(world.answer(caller) != nullptr);
+            CHECK(world.answer(caller)->kind == AnswerKind::Completed);
+        }
+        CHECK(join(world.violations()).empty());
+    }
+}
+
 } // namespace
 } // namespace clementinelift::command
