--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -27,6 +27,7 @@
 constexpr std::int64_t maxLeaseMs = 1000; // holdMaxMs
 constexpr std::int64_t serverMilliCores = 32000;
 constexpr std::int64_t taskMilliCores = 14000;
+constexpr std::chrono::milliseconds heartbeat(1500); // heartbeatMs
 
 std::string configuration(int version, const std::vector<std::string> &prefixes)
 {
@@ -428,17 +429,53 @@
             m_store.put("keyed.servers", server->id(), server->registryEntry());
         }
     }
+    // Renewals are spread evenly over the interval.
+    const auto now = Clock::now();
+    for (std::size_t i = 0; i < m_servers.size(); ++i)
+        m_registrations.push_back({now + heartbeat * (i + 1) / m_servers.size(), now, true});
     m_ticker = std::thread([this] {
         while (!m_stopping) {
             m_store.tick(*m_storeServer);
             for (auto &server : m_servers)
                 server->tick();
+            renewEntries();
             std::this_thread::sleep_for(std::chrono::milliseconds(2));
         }
     });
     return true;
 }
 
+// Renewals of entries that are listed change nothing but their counter, so they are not written here.
+void Deployment::renewEntries()
+{
+    const auto now = Clock::now();
+    for (std::size_t i = 0; i < m_servers.size(); ++i) {
+        Registration &registration = m_registrations[i];
+        if (now >= registration.renewAt) {
+            registration.renewAt += heartbeat;
+            if (!m_isStoreDown) {
+                registration.renewedAt = now;
+                if (!std::exchange(registration.isListed, true)) {
+                    m_store.put("keyed.servers", m_servers[i]->id(), m_servers[i]->registryEntry());
+                    m_record.line("backend server registered again server=" + m_servers[i]->id());
+                }
+            }
+        }
+        if (registration.isListed && now - registration.renewedAt > 3 * heartbeat) {
+            registration.isListed = false;
+            m_store.put("keyed.servers", m_servers[i]->id(), "");
+            m_record.line("entry expired server=" + m_servers[i]->id());
+        }
+    }
+}
+
+void Deployment::setStoreDown(bool isDown)
+{
+    m_isStoreDown = isDown;
+    m_store.setDown(isDown);
+    m_record.line(isDown ? "store is down" : "store is back");
+}
+
 void Deployment::configure(int version, const std::vector<std::string> &morePrefixes)
 {
     std::vector<std::string> prefixes{"/q/"};
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -169,6 +169,9 @@
     // As addVm(), with a link to the store that can be cut.
     std::size_t addVmWithLink(const std::string &name, const std::string &zone, double cpuShare);
     void cutFromStore(std::size_t index, bool isCut);
+    // While the store is down it answers 503, and the entries of backend servers expire after three missed renewals.
+    // Once it is back, each backend server registers with its next renewal.
+    void setStoreDown(bool isDown);
     // A new version of the configuration, with one more route for each of the path prefixes.
     void configure(int version, const std::vector<std::string> &morePrefixes);
     EntryVm &vm(std::size_t index) { return m_vms[index]; }
@@ -186,6 +189,7 @@
 
 private:
     void writeSettings(const EntryVm &vm) const;
+    void renewEntries();
     std::string ipOf(std::size_t host) const;
 
     const std::string m_directory;
@@ -197,6 +201,14 @@
     std::unique_ptr<net::HttpServer> m_storeServer;
     std::atomic<net::HttpServer *> m_storeRunning = nullptr;
     std::vector<std::unique_ptr<BackendServer>> m_servers;
+    struct Registration
+    {
+        Clock::time_point renewAt;
+        Clock::time_point renewedAt;
+        bool isListed = false;
+    };
+    std::vector<Registration> m_registrations; // of m_servers; used on the ticker's thread only
+    std::atomic<bool> m_isStoreDown = false;
     std::vector<EntryVm> m_vms;
     std::map<std::size_t, std::unique_ptr<StoreLink>> m_links; // by index of the entry VM
     std::atomic<bool> m_stopping = false;
