--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -29,24 +29,24 @@
 constexpr std::int64_t taskMilliCores = 14000;
 constexpr std::chrono::milliseconds heartbeat(1500); // heartbeatMs
 
-std::string configuration(int version, const std::vector<std::string> &prefixes)
+std::string configuration(int version, const std::map<std::string, std::string> &serviceOfPrefix,
+                          const std::vector<std::string> &serviceNames)
 {
     Json routes = Json::array();
-    for (const std::string &prefix : prefixes)
+    for (const auto &[prefix, service] : serviceOfPrefix)
         routes.push_back(Json{{"name", "r" + std::to_string(routes.size())},
                               {"host", "shop.example"},
                               {"pathPrefix", prefix},
-                              {"service", "dopln"},
+                              {"service", service},
                               {"timeoutMs", 30000},
                               {"targetCompletionMs", 60},
                               {"priority", 0},
                               {"maxAttempts", 3},
                               {"stretch", 1.6}});
-    return Json{{"version", version},
-                {"routes", routes},
-                {"services", Json::array({Json{{"name", "dopln"}, {"rejectsOverload", true}}})},
-                {"limits", Json::object()}}
-            .dump();
+    Json services = Json::array();
+    for (const std::string &name : serviceNames)
+        services.push_back(Json{{"name", name}, {"rejectsOverload", true}});
+    return Json{{"version", version}, {"routes", routes}, {"services", services}, {"limits", Json::object()}}.dump();
 }
 
 } // namespace
@@ -90,24 +90,30 @@
 {
     line("run begins task=" + task + " run=" + std::to_string(run) + " server=" + server);
     const std::lock_guard lock(m_mutex);
-    m_firstRuns.try_emplace(task.substr(0, task.find('.')), nowMs());
+    m_firstRuns.try_emplace(task.substr(0, task.find('.')), FirstRun{nowMs(), server});
+}
+
+std::map<std::string, Record::FirstRun> Record::firstRuns()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_firstRuns;
 }
 
 std::int64_t Record::firstRunMs(const std::string &idPrefix)
 {
     const std::lock_guard lock(m_mutex);
     std::int64_t first = -1;
-    for (const auto &[job, ms] : m_firstRuns) {
-        if (job.starts_with(idPrefix) && (first < 0 || ms < first))
-            first = ms;
+    for (const auto &[job, run] : m_firstRuns) {
+        if (job.starts_with(idPrefix) && (first < 0 || run.ms < first))
+            first = run.ms;
     }
     return first;
 }
 
 // BackendServer -------------------------------------------------------------------------------------
 
-BackendServer::BackendServer(std::string id, std::string zone, Record &record)
-    : m_id(std::move(id)), m_zone(std::move(zone)), m_record(record),
+BackendServer::BackendServer(std::string id, std::string zone, std::string service, Record &record)
+    : m_id(std::move(id)), m_zone(std::move(zone)), m_service(std::move(service)), m_record(record),
       m_bornMs(
               std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
                       .count())
@@ -132,7 +138,7 @@
 
 std::string BackendServer::registryEntry() const
 {
-    return Json{{"service", "dopln"},
+    return Json{{"service", m_service},
                 {"address", m_address},
                 {"zone", m_zone},
                 {"version", "v1"},
@@ -420,10 +426,12 @@
     if (m_storeServer == nullptr)
         return false;
     int number = 0;
+    const int count = m_serversPerZone * static_cast<int>(m_services.size());
     for (const std::string &zone : m_zones) {
-        for (int i = 0; i < m_serversPerZone; ++i, ++number) {
+        for (int i = 0; i < count; ++i, ++number) {
+            const std::string &service = m_services[static_cast<std::size_t>(i / m_serversPerZone)];
             auto &server = m_servers.emplace_back(
-                    std::make_unique<BackendServer>("s-" + std::to_string(number), zone, m_record));
+                    std::make_unique<BackendServer>(service + "-" + std::to_string(number), zone, service, m_record));
             if (!server->listen(ipOf(2) + ":" + std::to_string(8200 + number), error))
                 return false;
             m_store.put("keyed.servers", server->id(), server->registryEntry());
@@ -476,11 +484,11 @@
     m_record.line(isDown ? "store is down" : "store is back");
 }
 
-void Deployment::configure(int version, const std::vector<std::string> &morePrefixes)
+void Deployment::configure(int version, const std::map<std::string, std::string> &moreRoutes)
 {
-    std::vector<std::string> prefixes{"/q/"};
-    prefixes.insert(prefixes.end(), morePrefixes.begin(), morePrefixes.end());
-    m_store.put("keyed.op", "config", configuration(version, prefixes));
+    std::map<std::string, std::string> routes{{"/q/", m_services.front()}};
+    routes.insert(moreRoutes.begin(), moreRoutes.end());
+    m_store.put("keyed.op", "config", configuration(version, routes, m_services));
     m_record.line("configuration acknowledged version=" + std::to_string(version));
 }
 
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -44,12 +44,18 @@
     void runBegins(const std::string &task, std::uint32_t run, const std::string &server);
     // When the first run of a job whose id begins so has begun; -1: none has.
     std::int64_t firstRunMs(const std::string &idPrefix);
+    struct FirstRun
+    {
+        std::int64_t ms = 0;
+        std::string server;
+    };
+    std::map<std::string, FirstRun> firstRuns(); // by job
     std::int64_t nowMs() const;
 
 private:
     std::mutex m_mutex;
     std::FILE *m_file;
-    std::map<std::string, std::int64_t> m_firstRuns; // by job
+    std::map<std::string, FirstRun> m_firstRuns; // by job
     const Clock::time_point m_start = Clock::now();
 };
 
@@ -59,7 +65,7 @@
 class BackendServer
 {
 public:
-    BackendServer(std::string id, std::string zone, Record &record);
+    BackendServer(std::string id, std::string zone, std::string service, Record &record);
 
     bool listen(const std::string &address, std::string &error);
     std::string registryEntry() const;
@@ -101,6 +107,7 @@
 
     const std::string m_id;
     const std::string m_zone;
+    const std::string m_service;
     Record &m_record;
     std::string m_address;
     mutable std::mutex m_mutex;
@@ -172,8 +179,10 @@
     // While the store is down it answers 503, and the entries of backend servers expire after three missed renewals.
     // Once it is back, each backend server registers with its next renewal.
     void setStoreDown(bool isDown);
-    // A new version of the configuration, with one more route for each of the path prefixes.
-    void configure(int version, const std::vector<std::string> &morePrefixes);
+    // A second pool of backend servers, as large as the first one. Ids begin with the service. Before start().
+    void addService(const std::string &service) { m_services.push_back(service); }
+    // A new version of the configuration, with further routes besides /q/: path prefix and service.
+    void configure(int version, const std::map<std::string, std::string> &moreRoutes);
     EntryVm &vm(std::size_t index) { return m_vms[index]; }
     void startVm(std::size_t index);
     void signalVm(std::size_t index, int signal);
@@ -196,6 +205,7 @@
     Record &m_record;
     const std::vector<std::string> m_zones;
     const int m_serversPerZone;
+    std::vector<std::string> m_services{"dopln"};
     int m_block = 0; // second byte of the addresses
     standins::Store m_store;
     std::unique_ptr<net::HttpServer> m_storeServer;
--- a/review/standins/stale.cpp
+++ b/review/standins/stale.cpp
@@ -1,6 +1,7 @@
-// A commander is cut off from the store while the configuration gains a route. Requests of the new route go to a small
-// entry VM of its zone. Exit status 1: one of them, sent later than rollbackSlackMs after a backend server has begun a
-// task of the new route, is answered 404.
+// A commander is cut off from the store while the configuration gains a route and sends another route to another
+// service. Requests of both go to a small entry VM of its zone. Exit status 1: one of them that was sent later than
+// rollbackSlackMs after a backend server has begun a task as the new version says is answered 404, or run by the old
+// service.
 #include "review/standins/deployment.h"
 
 #include <csignal>
@@ -13,12 +14,15 @@
 namespace {
 
 constexpr int rollbackSlackMs = 250;
-constexpr int configApplyMs = 2000;
 constexpr int cutMs = 5500;
 constexpr int beforeChangeMs = 1000; // from the cut to the change
 constexpr int gapMs = 10;            // between two requests
 constexpr std::int64_t budgetMs = 1500;
 
+constexpr const char *newService = "nuva";
+constexpr const char *newPrefix = "f";   // of the ids of jobs of the new route
+constexpr const char *movedPrefix = "e"; // the same of the route that moves to the new service
+
 struct Request
 {
     std::int64_t sentMs = 0;
@@ -37,10 +41,12 @@
     Record record(argv[2]);
     Deployment deployment(argv[1], record, {"sk-a", "sk-b"}, 4);
     std::string error;
+    deployment.addService(newService);
     if (!deployment.start(error)) {
         std::cerr << error << '\n';
         return 2;
     }
+    deployment.configure(2, {{"/m/", "dopln"}});
     std::vector<std::size_t> vms;
     for (const std::string zone : {"sk-a", "sk-b"}) {
         vms.push_back(deployment.addVm("front-" + zone + "-1", zone, 0.5));
@@ -59,54 +65,72 @@
     std::this_thread::sleep_for(milliseconds(3000));
 
     std::mutex mutex;
-    std::vector<Request> requests;
+    std::map<std::string, Request> requests; // by job
     std::atomic<int> waiting = 0;
     Callers callers(record);
     const auto cutAt = Clock::now();
     if (hasTrouble)
         deployment.cutFromStore(cutVm, true);
     std::this_thread::sleep_for(milliseconds(beforeChangeMs));
-    deployment.configure(2, {"/n/"});
+    deployment.configure(3, {{"/n/", "dopln"}, {"/m/", newService}});
     const std::int64_t acknowledgedMs = record.nowMs();
     for (std::uint64_t number = 0; Clock::now() < cutAt + milliseconds(cutMs); ++number) {
-        const std::int64_t sentMs = record.nowMs();
+        const bool isMoved = number % 2 == 1;
+        const std::string job = (isMoved ? movedPrefix : newPrefix) + makeJobId(number).substr(1);
+        {
+            const std::lock_guard lock(mutex);
+            requests[job].sentMs = record.nowMs();
+        }
         ++waiting;
         callers.send(
-                "POST", deployment.callerAddress(smallVm), "f" + makeJobId(number).substr(1), makeJob(1, 60), budgetMs,
-                [&, sentMs](const Answer &answer) {
+                "POST", deployment.callerAddress(smallVm), job, makeJob(1, 60), budgetMs,
+                [&, job](const Answer &answer) {
                     {
                         const std::lock_guard lock(mutex);
-                        requests.push_back({sentMs, answer.status});
+                        requests[job].status = answer.status;
                     }
                     --waiting;
                 },
-                "/n/");
+                isMoved ? "/m/" : "/n/");
         std::this_thread::sleep_for(milliseconds(gapMs));
     }
     if (hasTrouble)
         deployment.cutFromStore(cutVm, false);
     waitUntil(milliseconds(3000), [&] { return waiting == 0; });
 
-    const std::int64_t effectMs = record.firstRunMs("f");
+    // The first run of the new route, and the first one of the moved route at its new service.
+    const std::map<std::string, Record::FirstRun> runs = record.firstRuns();
+    const std::int64_t newMs = record.firstRunMs(newPrefix);
+    std::int64_t movedMs = -1;
+    for (const auto &[job, run] : runs) {
+        if (job.starts_with(movedPrefix) && run.server.starts_with(newService) && (movedMs < 0 || run.ms < movedMs))
+            movedMs = run.ms;
+    }
     int completed = 0;
-    int regressed = 0;
-    int late = 0;
+    int unknown = 0;
+    int misplaced = 0;
     std::int64_t lastMs = 0;
-    for (const Request &request : requests) {
+    for (const auto &[job, request] : requests) {
         completed += request.status == 200 ? 1 : 0;
-        if (request.status != 404)
+        const auto run = runs.find(job);
+        const bool isUnknown = request.status == 404;
+        const bool isMisplaced =
+                job.starts_with(movedPrefix) && run != runs.end() && !run->second.server.starts_with(newService);
+        if (!isUnknown && !isMisplaced)
             continue;
         lastMs = std::max(lastMs, request.sentMs - acknowledgedMs);
-        regressed += effectMs >= 0 && request.sentMs > effectMs + rollbackSlackMs ? 1 : 0;
-        late += request.sentMs > acknowledgedMs + configApplyMs ? 1 : 0;
+        const std::int64_t effectMs = job.starts_with(movedPrefix) ? movedMs : newMs;
+        if (effectMs < 0 || request.sentMs <= effectMs + rollbackSlackMs)
+            continue;
+        ++(isUnknown ? unknown : misplaced);
     }
     const std::string result = "requests=" + std::to_string(requests.size()) + " completed=" + std::to_string(completed)
-            + " first_run_ms_after_ack=" + std::to_string(effectMs - acknowledgedMs)
-            + " 404_later_than_250_ms_after_that=" + std::to_string(regressed) + " 404_later_than_2000_ms_after_ack="
-            + std::to_string(late) + " last_404_ms_after_ack=" + std::to_string(lastMs);
+            + " first_runs_ms_after_ack=" + std::to_string(newMs - acknowledgedMs) + ","
+            + std::to_string(movedMs - acknowledgedMs) + " over_250_ms_after_that:404=" + std::to_string(unknown)
+            + ",run_by_old_service=" + std::to_string(misplaced) + " last_ms_after_ack=" + std::to_string(lastMs);
     record.line(result);
     std::cout << result << '\n';
-    if (deployment.hasUnexpectedExit() || effectMs < 0 || completed == 0)
+    if (deployment.hasUnexpectedExit() || newMs < 0 || movedMs < 0 || completed == 0)
         return 2;
-    return regressed > 0 || late > 0 ? 1 : 0;
+    return unknown > 0 || misplaced > 0 ? 1 : 0;
 }
