--- a/review/standins/cancel.cpp
+++ b/review/cancel.cpp
@@ -1,6 +1,6 @@
 // Callers submit jobs, move to another availability zone and cancel the jobs there. Exit status 1: a task of a
 // cancelled job runs on cancel_ms + stopMs after the answer to the cancel.
-#include "review/standins/deployment.h"
+#include "review/deployment.h"
 
 #include <csignal>
 #include <cstdlib>
--- a/review/standins/deployment.cpp
+++ b/review/deployment.cpp
@@ -1,4 +1,4 @@
-#include "review/standins/deployment.h"
+#include "review/deployment.h"
 
 #include <nlohmann/json.hpp>
 
--- a/review/standins/lapse.cpp
+++ b/review/lapse.cpp
@@ -1,6 +1,6 @@
 // The store is down for some seconds, meanwhile the entry VMs are killed one after the other and start again. Exit
 // status 1: a job is answered as failed, although no backend server has failed a task.
-#include "review/standins/deployment.h"
+#include "review/deployment.h"
 
 #include <csignal>
 #include <cstdlib>
--- a/review/standins/recover.cpp
+++ b/review/recover.cpp
@@ -1,7 +1,7 @@
 // Many entry VMs are removed and replaced, then all processes are killed and start again. Prints the share of requests
 // served before, and of those sent later than recoveryS after the restart. Exit status 1: less than a quarter of the
 // latter, although a quarter or more was served before.
-#include "review/standins/deployment.h"
+#include "review/deployment.h"
 
 #include <csignal>
 #include <cstdlib>
--- a/review/standins/stale.cpp
+++ b/review/stale.cpp
@@ -2,7 +2,7 @@
 // service. Requests of both go to a small entry VM of its zone. Exit status 1: one of them that was sent later than
 // rollbackSlackMs after a backend server has begun a task as the new version says is answered 404, or run by the old
 // service.
-#include "review/standins/deployment.h"
+#include "review/deployment.h"
 
 #include <csignal>
 #include <cstdlib>
