--- a/review/second/deployment.cpp
+++ b/review/second/deployment.cpp
@@ -224,6 +224,26 @@
     m_record.line("operator: configuration " + std::to_string(version) + " is acknowledged, routes" + text);
 }
 
+void Deployment::setStoreDown(bool down)
+{
+    m_store.setDown(down);
+    m_record.line(down ? "platform: the store is down" : "platform: the store is back");
+}
+
+void Deployment::expireEntries()
+{
+    for (const auto &backend : m_backends)
+        m_store.put("keyed.servers", backend->id(), "");
+    m_record.line("platform: the entries of the backend servers have expired");
+}
+
+void Deployment::registerEntries()
+{
+    for (const auto &backend : m_backends)
+        m_store.put("keyed.servers", backend->id(), backend->registryEntry(false));
+    m_record.line("backend servers: their entries are back");
+}
+
 void Deployment::writeSettings(std::size_t index)
 {
     const EntryVm &vm = m_vms[index];
--- a/review/second/deployment.h
+++ b/review/second/deployment.h
@@ -90,6 +90,9 @@
     bool start();
 
     void publish(std::int64_t version, const std::vector<std::string> &prefixes);
+    void setStoreDown(bool down);
+    void expireEntries();   // of all backend servers, in the store
+    void registerEntries(); // again, with the next heartbeats
     void launch(std::size_t vm);
     void writeSettings(std::size_t vm); // replaces the settings file
     void signal(std::size_t vm, int number);
