--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # Exit status: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x build-review-2/bin/review-2-older_coordinator ] && [ -x target/bin/clementinelift ] || exit 2
-timeout -k 5 110 build-review-2/bin/review-2-older_coordinator review/7/record.txt
+[ -x build-review-2/bin/review-2-late_start_after_restart ] && [ -x target/bin/clementinelift ] || exit 2
+timeout -k 5 110 build-review-2/bin/review-2-late_start_after_restart review/7/record.txt
 code=$?
 [ $code -le 2 ] || code=2
 exit $code
--- a/review/second/deployment.cpp
+++ b/review/second/deployment.cpp
@@ -177,12 +177,15 @@
     }
     m_storeServer = *std::move(server);
     running = m_storeServer.get();
-    for (auto &backend : m_backends) {
-        if (!backend->listen("127.0.0.1:" + std::to_string(freePort()), error)) {
+    for (std::size_t i = 0; i < m_backends.size(); ++i) {
+        m_backendAddresses[i] = "127.0.0.1:" + std::to_string(freePort());
+        if (!m_backends[i]->listen(m_backendAddresses[i], error)) {
             m_record.line("backend server: " + error);
             return false;
         }
-        m_store.put("keyed.servers", backend->id(), backend->registryEntry(false));
+        if (m_registeredAt.contains(i))
+            m_backends[i]->setRegisteredAddress(m_registeredAt[i]);
+        putEntry(i);
     }
     if (!m_proxy.start(error)) {
         m_record.line("proxy: " + error);
@@ -224,6 +227,11 @@
     m_record.line("operator: configuration " + std::to_string(version) + " is acknowledged, routes" + text);
 }
 
+void Deployment::putEntry(std::size_t backend)
+{
+    m_store.put("keyed.servers", m_backends[backend]->id(), m_backends[backend]->registryEntry(false));
+}
+
 void Deployment::setStoreDown(bool down)
 {
     m_store.setDown(down);
--- a/review/second/deployment.h
+++ b/review/second/deployment.h
@@ -106,6 +106,11 @@
     EntryVm &vm(std::size_t index) { return m_vms[index]; }
     const clementinelift::standins::RunLog &runs() const { return m_runs; }
     std::uint16_t freePort();
+    clementinelift::standins::Backend &backend(std::size_t index) { return *m_backends[index]; }
+    void putEntry(std::size_t backend);
+    // Before start(): the address under which the backend server registers; it listens at backendAddress().
+    void registerAt(std::size_t backend, const std::string &address) { m_registeredAt[backend] = address; }
+    std::string backendAddress(std::size_t backend) const { return m_backendAddresses.at(backend); }
 
 private:
     int httpStatus(const std::string &address);
@@ -119,6 +124,8 @@
     clementinelift::standins::Store m_store{8};
     std::unique_ptr<clementinelift::net::HttpServer> m_storeServer;
     std::vector<std::unique_ptr<clementinelift::standins::Backend>> m_backends;
+    std::map<std::size_t, std::string> m_registeredAt;
+    std::map<std::size_t, std::string> m_backendAddresses;
     clementinelift::soak::Proxy m_proxy;
     std::atomic<bool> m_stopping = false;
     std::thread m_ticker;
