--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 constexpr std::int64_t holdWaitMs = 400;             // leases of 1,000 ms are renewed at least this often
-constexpr TimeUs answerTimeoutUs = 150 * usPerMs;    // of orders that are answered at once: 100 round-trip times
 constexpr TimeUs holdAnswerMarginUs = 250 * usPerMs; // for the answer once the wait of a hold is over
 // Latest end of a lease after the disconnect of a caller or the last message of its entry VM: the caller submits its
 // job again after 1,300 ms.
@@ -157,6 +156,7 @@
     server.handingOver = false;
     server.token = token;
     server.missingAnswers = 0;
+    server.isVerifying = false;
     if (server.holdSequence != 0) // its answer is ignored
         server.mayMissEnds = true;
     server.holdSequence = 0;
@@ -204,23 +204,55 @@
     ++m_capacityVersion;
 }
 
-// Reports all runs of a backend server as lost; all of them have certainly ended by endsBy.
+// The time from which an unanswered start cannot reach a backend server that has not received it: the client closes the
+// connection of an order without an answer.
+TimeUs Commander::undeliverableFrom(const Run &run)
+{
+    return std::min(run.unansweredAt, run.orderedAt + answerTimeoutUs);
+}
+
+// What is known about a start that was not answered. The order reached at most one incarnation, which was up before
+// undeliverableFrom(). That incarnation has ended when a later order was refused or met another instance, and was the
+// expected one when the expected one was heard later.
+StartFate Commander::startFate(const Server &server, const Run &run) const
+{
+    if (server.endedSentAt >= undeliverableFrom(run))
+        return StartFate::Settled;
+    const bool isExpectedHeard = server.heardIncarnationMs != 0 && server.heardIncarnationMs == run.incarnationStartMs
+            && server.heardSentAt >= undeliverableFrom(run);
+    return isExpectedHeard ? StartFate::Bounded : StartFate::Unknown;
+}
+
+// Reports all runs of a backend server as lost. All of them have certainly ended by endsBy, except those whose starts
+// another incarnation may have received: its clock is behind their lease ends.
 void Commander::abandonRuns(TimeUs now, Server &server, TimeUs endsBy, std::vector<RunEndNotice> &ended)
 {
     dropHeldStarts(now, server, ended);
     const std::vector<TaskId> runs = std::move(server.runs);
     server.runs.clear();
-    const bool hasUnconfirmed = endsBy > now && std::any_of(runs.begin(), runs.end(), [this](const TaskId &task) {
-                                    return m_runs.find(task)->second.acceptedAt == never;
-                                });
+    bool hasUnconfirmed = false;
+    bool hasUnknown = false;
+    for (const TaskId &task : runs) {
+        const Run &run = m_runs.find(task)->second;
+        if (run.acceptedAt != never)
+            continue;
+        const StartFate fate = startFate(server, run);
+        hasUnconfirmed = hasUnconfirmed || (fate != StartFate::Settled && endsBy > now);
+        hasUnknown = hasUnknown || fate == StartFate::Unknown;
+    }
     // A backend server that has restarted unnoticed counts the lease from the arrival of an unanswered start. The lease
     // is that of all runs there.
     const TimeUs boundUs = endsBy + (hasUnconfirmed ? answerTimeoutUs : 0);
     for (const TaskId &task : runs) {
         const Run &run = m_runs.find(task)->second;
-        if (run.acceptedAt == never && endsBy > now)
-            server.unconfirmedStarts.push_back({task, run.number, endsBy});
-        endRun(now, task, RunEnd::Lost, std::max<TimeUs>(boundUs - now, 0), ended);
+        const bool isUnconfirmed = run.acceptedAt == never;
+        const StartFate fate = isUnconfirmed       ? startFate(server, run)
+                : hasUnknown && run.isAfterRestart ? StartFate::Unknown
+                                                   : StartFate::Settled;
+        const TimeUs runEndsBy = fate == StartFate::Unknown ? now + lateStartLimitUs : boundUs;
+        if (fate == StartFate::Unknown || (fate == StartFate::Bounded && endsBy > now))
+            m_unconfirmedStarts.add(now, task, server.entry.id, run.number, fate, runEndsBy);
+        endRun(now, task, RunEnd::Lost, std::max<TimeUs>(runEndsBy - now, 0), ended);
     }
     server.used = {};
 }
@@ -392,9 +424,9 @@
     start.spec = order.spec;
     start.timeoutUs = answerTimeoutUs;
     // Without an open hold a restart or a crash goes unnoticed, and the lease end of a start means nothing to the clock
-    // of another incarnation. Such a backend server is asked first.
+    // of another incarnation. Such a backend server, or one that has left an order unanswered, is asked first.
     const bool isHoldOpen = server.holdSequence != 0;
-    if (isHoldOpen && server.heldStarts.empty()) {
+    if (isHoldOpen && !server.isVerifying && server.heldStarts.empty()) {
         sendStart(now, server, kept, std::move(start), actions);
         return true;
     }
@@ -414,6 +446,7 @@
     run.token = server.token;
     order.token = server.token;
     run.leaseUs = extendLeases(server, now);
+    run.incarnationStartMs = server.incarnationStartMs;
     order.leaseEndMs = clockNow(server, now) + run.leaseUs / usPerMs;
     actions.push_back(std::move(order));
 }
@@ -490,9 +523,6 @@
     server.sentAcknowledgedEnd = 0;
     server.clockAt = 0;
     server.hasRestarted = true;
-    // Its clock is behind the lease ends of these orders, so none of them is too late for it.
-    for (UnconfirmedStart &start : server.unconfirmedStarts)
-        start.until = never;
     reportCrash(now, server, ended);
 }
 
@@ -518,6 +548,7 @@
         if (end.number <= knownThrough)
             continue;
         server.acknowledgedEnd = std::max(server.acknowledgedEnd, end.number);
+        m_unconfirmedStarts.settle(now, end.task, server.entry.id, end.run, StartFate::Settled, now);
         const auto found = m_runs.find(end.task);
         if (found == m_runs.end() || found->second.number != end.run || &m_servers[found->second.server] != &server)
             continue;
@@ -536,7 +567,10 @@
             // Started by an earlier commander, already given up here, or the order arrived late.
             ++unknownRuns;
             sendStop(now, server, running.task, running.run, actions);
-        } else if (found->second.state == RunState::Starting) {
+            continue;
+        }
+        found->second.isAfterRestart = false;
+        if (found->second.state == RunState::Starting) {
             found->second.state = RunState::Running;
             found->second.acceptedAt = now;
         } else if (found->second.state == RunState::Stopping && now - found->second.stopSentAt > stopRepeatUs) {
@@ -581,10 +615,10 @@
         ++m_capacityVersion;
     }
     if (server.stage == Stage::Claiming || server.stage == Stage::Suspect) {
-        std::erase_if(server.unconfirmedStarts, [&](const UnconfirmedStart &start) { return now >= start.until; });
-        for (const UnconfirmedStart &start : server.unconfirmedStarts)
+        const std::vector<UnconfirmedStart> openStarts = m_unconfirmedStarts.openOn(now, server.entry.id);
+        for (const UnconfirmedStart &start : openStarts)
             sendStop(now, server, start.task, start.run, actions);
-        if (unknownRuns > 0 || !server.unconfirmedStarts.empty()) {
+        if (unknownRuns > 0 || !openStarts.empty()) {
             dropHeldStarts(now, server, ended);        // other backend servers take these tasks meanwhile
             sendHold(now, server, false, 50, actions); // a stop takes 50 ms
             return;
@@ -602,6 +636,18 @@
         stopCommanding(now, server, ended);
 }
 
+// The commander of the backend server settles a start that a peer, or the commander before it, has reported.
+bool Commander::mergeUnconfirmedStart(TimeUs now, const UnconfirmedStart &reported, std::vector<Action> &actions)
+{
+    if (!m_unconfirmedStarts.merge(now, reported))
+        return false;
+    const auto found = m_indexes.find(reported.server);
+    if (found != m_indexes.end() && reported.fate == StartFate::Unknown
+        && m_servers[found->second].stage == Stage::Usable)
+        claimAgain(now, m_servers[found->second], actions);
+    return true;
+}
+
 // Stops ---------------------------------------------------------------------------------------------
 
 void Commander::stopRun(TimeUs now, const TaskId &task, Run &run, std::vector<Action> &actions)
--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -5,7 +5,8 @@
 // overlap because of two rules:
 //   - A backend server that has a new commander, or that did not answer, is first asked for its runs without renewing
 //     their leases. Unknown runs are stopped, and no task is started there until they have ended.
-//   - A run whose end cannot be observed is reported as Lost, with the time by which its lease has certainly expired.
+//   - A run whose end cannot be observed is reported as Lost, with the time by which its lease has certainly expired,
+//     or with a far longer time when its start may yet be carried out (unconfirmed_starts.h).
 //
 // Contents
 //   CommanderSettings, RunEndNotice, Stage
@@ -15,6 +16,7 @@
 #include "command/events.h"
 #include "command/run_times.h"
 #include "command/start_delay.h"
+#include "command/unconfirmed_starts.h"
 
 #include "command/text.h"
 
@@ -84,6 +86,11 @@
     // renewed on backend servers with runs of this coordinator.
     void setLastContact(const std::string &coordinator, TimeUs at) { m_lastContactAt[coordinator] = at; }
 
+    // Applies the report of a peer about a start on any backend server; true when it says more than was known.
+    bool mergeUnconfirmedStart(TimeUs now, const UnconfirmedStart &reported, std::vector<Action> &actions);
+    void expireUnconfirmedStarts(TimeUs now) { m_unconfirmedStarts.expire(now); }
+    const UnconfirmedStarts &unconfirmedStarts() const { return m_unconfirmedStarts; }
+
     // Applies to leases from now on.
     void setMaxLease(TimeUs maxLeaseUs) { m_settings.maxLeaseUs = maxLeaseUs; }
 
@@ -119,22 +126,18 @@
         Resources resources;
         RunState state = RunState::Starting;
         TimeUs orderedAt = 0;
-        TimeUs leaseUs = 0;               // that the start order gave
-        TimeUs leavesAt = 0;              // expected end of the wait of the order at the link
-        std::size_t unansweredStarts = 0; // when the order was sent, it included
-        TimeUs acceptedAt = never;        // when the answer to the start arrived
-        TimeUs stopSentAt = 0;            // of Stopping
-        TimeUs firstStopSentAt = 0;       // of Stopping: when the first stop was sent
-        TimeUs nextStopAt = never;        // of Stopping: when a rejected stop is sent again
-        TimeUs expectedUs = 0;            // work on a backend server of speed 1
-        RunEnd reportAs = RunEnd::Done;   // of Stopping; Done: as reported by the backend server
-    };
-    // A start without an answer. The order may still be carried out until its lease has ended or a stop is answered.
-    struct UnconfirmedStart
-    {
-        TaskId task;
-        RunNumber run = 0;
-        TimeUs until = 0;
+        TimeUs leaseUs = 0;                  // that the start order gave
+        TimeUs leavesAt = 0;                 // expected end of the wait of the order at the link
+        std::size_t unansweredStarts = 0;    // when the order was sent, it included
+        TimeUs acceptedAt = never;           // when the answer to the start arrived
+        TimeUs unansweredAt = never;         // when it was certain that no answer will arrive
+        bool isAfterRestart = false;         // accepted by an incarnation that no lists have named yet
+        std::int64_t incarnationStartMs = 0; // incarnation for whose clock the lease of the start was computed
+        TimeUs stopSentAt = 0;               // of Stopping
+        TimeUs firstStopSentAt = 0;          // of Stopping: when the first stop was sent
+        TimeUs nextStopAt = never;           // of Stopping: when a rejected stop is sent again
+        TimeUs expectedUs = 0;               // work on a backend server of speed 1
+        RunEnd reportAs = RunEnd::Done;      // of Stopping; Done: as reported by the backend server
     };
     struct GivenUpRun
     {
@@ -144,16 +147,17 @@
     struct Server
     {
         ServerEntry entry;
-        std::vector<UnconfirmedStart> unconfirmedStarts;
         std::vector<SendStart> heldStarts;   // sent once the backend server has listed its runs
         std::vector<GivenUpRun> givenUpRuns; // without an answer; whether it has crashed under them shows later
         Stage stage = Stage::Foreign;
         bool listed = false;
         bool handingOver = false;  // its shard is assigned to another entry VM
         bool isRefusing = false;   // refused the last connection: no process listens
+        bool isVerifying = false;  // the hold in progress was sent because an answer was missing
         bool hasRestarted = false; // since the last lists; runs that the next ones do not name have crashed with it
         FencingToken token = 0;
         FencingToken fencedToken = 0; // orders under this token were refused
+        TimeUs fencedSentAt = 0;      // when the order was sent that was refused
         Resources largestCapacity;    // that its incarnation has reported; capacities shrink and grow again
         Resources used;
         std::vector<TaskId> runs;
@@ -164,15 +168,18 @@
         std::uint64_t holdSequence = 0;       // 0: no hold in progress
         TimeUs holdSentAt = 0;
         TimeUs holdTimeoutUs = 0;
-        TimeUs holdLeaseUs = 0;           // that it renews; 0: none
-        TimeUs nextProbeAt = never;       // when a hold is due without another cause
-        TimeUs leasesEndBy = 0;           // all leases have certainly expired by then
-        TimeUs leasesLastUntil = 0;       // no lease has expired before
-        bool mayMissEnds = false;         // runs may have ended since the last lists without being seen
-        std::int64_t clockMs = 0;         // lower bound of its clock at clockAt
-        TimeUs clockAt = 0;               // 0: clock not known
-        std::int64_t listedClockMs = 0;   // its clock in the last lists
-        TimeUs listsSentAt = 0;           // when these were requested
+        TimeUs holdLeaseUs = 0;              // that it renews; 0: none
+        TimeUs nextProbeAt = never;          // when a hold is due without another cause
+        TimeUs leasesEndBy = 0;              // all leases have certainly expired by then
+        TimeUs leasesLastUntil = 0;          // no lease has expired before
+        bool mayMissEnds = false;            // runs may have ended since the last lists without being seen
+        std::int64_t clockMs = 0;            // lower bound of its clock at clockAt
+        TimeUs clockAt = 0;                  // 0: clock not known
+        std::int64_t listedClockMs = 0;      // its clock in the last lists
+        TimeUs listsSentAt = 0;              // when these were requested
+        std::int64_t heardIncarnationMs = 0; // incarnation that the last lists named; 0: unknown
+        TimeUs heardSentAt = 0;              // when these were requested
+        TimeUs endedSentAt = 0; // when the last order was sent that found the process of the earlier orders gone
         std::uint32_t missingAnswers = 0; // consecutive orders without an answer
         std::uint32_t failures = 0;       // consecutive failed or stalled runs
         TimeUs blockedUntil = 0;          // no starts before this time
@@ -184,6 +191,8 @@
     void claimAgain(TimeUs now, Server &server, std::vector<Action> &actions);
     void repeatStops(TimeUs now, const Server &server, std::vector<Action> &actions);
     void stopCommanding(TimeUs now, Server &server, std::vector<RunEndNotice> &ended);
+    static TimeUs undeliverableFrom(const Run &run);
+    StartFate startFate(const Server &server, const Run &run) const;
     void abandonRuns(TimeUs now, Server &server, TimeUs endsBy, std::vector<RunEndNotice> &ended);
     void sendHold(TimeUs now, Server &server, bool withLease, std::int64_t waitMs, std::vector<Action> &actions);
     void sendStart(TimeUs now, Server &server, Run &run, SendStart &&order, std::vector<Action> &actions);
@@ -202,9 +211,14 @@
     void readClock(Server &server, const ClockReading &reading, bool isOfLists);
     bool isBehind(const Server &server, const ClockReading &reading) const;
     std::int64_t clockNow(const Server &server, TimeUs now) const;
-    void onMissingAnswer(TimeUs now, Server &server, std::vector<Action> &actions, std::vector<RunEndNotice> &ended);
+    void onMissingAnswer(TimeUs now, Server &server, bool isLastAttempt, std::vector<Action> &actions,
+                         std::vector<RunEndNotice> &ended);
     void onOtherInstance(TimeUs now, Server &server, std::vector<Action> &actions, std::vector<RunEndNotice> &ended);
-    void onFenced(TimeUs now, Server &server, std::vector<Action> &actions, std::vector<RunEndNotice> &ended);
+    void onFenced(TimeUs now, Server &server, TimeUs sentAt, std::vector<Action> &actions,
+                  std::vector<RunEndNotice> &ended);
+    void loseUnconfirmed(TimeUs now, const Server &server, const TaskId &task, const Run &run,
+                         std::vector<RunEndNotice> &ended);
+    void onLateStartResult(TimeUs now, const StartResult &event);
     void applyRunLists(TimeUs now, Server &server, const HoldResult &event, TimeUs sentAt, std::vector<Action> &actions,
                        std::vector<RunEndNotice> &ended);
     bool canStart(const Server &server, TimeUs now) const;
@@ -223,6 +237,7 @@
     std::map<std::string, TimeUs, std::less<>> m_lastContactAt; // by coordinator
     ShardsAssigned m_shards;
     StartDelay m_startDelay;
+    UnconfirmedStarts m_unconfirmedStarts;
     std::uint64_t m_lastSequence = 0;
     std::uint64_t m_capacityVersion = 1;
     bool m_startsDisabled = false;
--- a/packages/command/commander_answers.cpp
+++ b/packages/command/commander_answers.cpp
@@ -22,22 +22,29 @@
         return;
     server.holdSequence = 0;
     server.isRefusing = event.isRefused;
+    const bool wasVerifying = std::exchange(server.isVerifying, false);
     const TimeUs sentAt = server.holdSentAt;
     // Until its connection breaks, a hold reports each end; one that was not sent reports none.
     const TimeUs seenUs = event.outcome == OrderOutcome::NotSent ? maxListAgeUs : server.holdTimeoutUs;
     if ((event.outcome == OrderOutcome::NotSent || event.outcome == OrderOutcome::Unknown) && now - sentAt >= seenUs)
         server.mayMissEnds = true;
+    if (event.isRefused || event.outcome == OrderOutcome::OtherInstance) {
+        server.endedSentAt = sentAt;
+        m_unconfirmedStarts.settleAll(now, server.entry.id, sentAt - answerTimeoutUs);
+    }
     switch (event.outcome) {
     case OrderOutcome::Accepted:
         server.missingAnswers = 0;
         acceptIncarnation(now, server, event.incarnationStartMs, actions, ended);
+        server.heardIncarnationMs = event.incarnationStartMs;
+        server.heardSentAt = sentAt;
         reportGivenUpRuns(server, CrashNotice::NotCrashed, CrashNotice::NotCrashed, ended);
         if (event.clock)
             readClock(server, *event.clock, true);
         applyRunLists(now, server, event, sentAt, actions, ended);
         return;
     case OrderOutcome::Fenced:
-        onFenced(now, server, actions, ended);
+        onFenced(now, server, sentAt, actions, ended);
         return;
     case OrderOutcome::OtherInstance:
         onOtherInstance(now, server, actions, ended);
@@ -49,22 +56,28 @@
         ++m_capacityVersion;
         return;
     default:
-        onMissingAnswer(now, server, actions, ended);
+        onMissingAnswer(now, server, wasVerifying, actions, ended);
     }
 }
 
-void Commander::onFenced(TimeUs now, Server &server, std::vector<Action> &actions, std::vector<RunEndNotice> &ended)
+// sentAt: when the rejected order was sent. A start that could no longer arrive then never begins: whichever
+// incarnation has received it has seen the higher token. It may have begun before.
+void Commander::onFenced(TimeUs now, Server &server, TimeUs sentAt, std::vector<Action> &actions,
+                         std::vector<RunEndNotice> &ended)
 {
     actions.push_back(LogLine{true, "servers",
                               concat("backend server rejected the fencing token server=", server.entry.id,
                                      " token=", server.token, " runs=", server.runs.size())});
     server.fencedToken = server.token;
+    server.fencedSentAt = sentAt;
     dropHeldStarts(now, server, ended);
     // Starts without an answer so far are decided by their own results, unless these have come and a stop was sent.
     for (const TaskId &task : std::vector<TaskId>(server.runs)) {
         const Run &run = m_runs.find(task)->second;
-        if (run.acceptedAt != never || run.state == RunState::Stopping)
+        if (run.acceptedAt != never)
             endRun(now, task, RunEnd::Lost, std::max<TimeUs>(server.leasesEndBy - now, 0), ended);
+        else if (run.state == RunState::Stopping)
+            loseUnconfirmed(now, server, task, run, ended);
     }
     server.stage = Stage::Fenced;
     server.holdSequence = 0;
@@ -72,6 +85,23 @@
     ++m_capacityVersion;
 }
 
+// Reports one run without an answer to its start as lost, on a backend server that has rejected the fencing token.
+void Commander::loseUnconfirmed(TimeUs now, const Server &server, const TaskId &task, const Run &run,
+                                std::vector<RunEndNotice> &ended)
+{
+    StartFate fate = startFate(server, run);
+    TimeUs endsBy = server.leasesEndBy;
+    if (fate == StartFate::Unknown && server.fencedSentAt >= undeliverableFrom(run)) {
+        fate = StartFate::Bounded;
+        endsBy = now + leaseBound(m_settings.maxLeaseUs); // another incarnation may have begun the run just before
+    } else if (fate == StartFate::Unknown) {
+        endsBy = now + lateStartLimitUs;
+    }
+    if (fate != StartFate::Settled)
+        m_unconfirmedStarts.add(now, task, server.entry.id, run.number, fate, endsBy);
+    endRun(now, task, RunEnd::Lost, std::max<TimeUs>(endsBy - now, 0), ended);
+}
+
 // Another incarnation answers at this address; the runs of the earlier incarnation have ended.
 void Commander::onOtherInstance(TimeUs now, Server &server, std::vector<Action> &actions,
                                 std::vector<RunEndNotice> &ended)
@@ -88,19 +118,20 @@
     ++m_capacityVersion;
 }
 
-// A first missing answer is often due to a reset connection, so a second hold without an answer decides.
-void Commander::onMissingAnswer(TimeUs now, Server &server, std::vector<Action> &actions,
+// A missing answer is often due to a reset connection or to one order that was not answered, so the backend server is
+// asked for its runs at once, and only a missing answer to that decides. isLastAttempt: this was that answer.
+void Commander::onMissingAnswer(TimeUs now, Server &server, bool isLastAttempt, std::vector<Action> &actions,
                                 std::vector<RunEndNotice> &ended)
 {
     ++server.missingAnswers;
     // A claimed backend server has runs when it has restarted: they may be of its new incarnation.
     const bool mayHaveRuns = server.stage == Stage::Usable || (server.stage == Stage::Claiming && !server.runs.empty());
-    if (mayHaveRuns && server.missingAnswers < 2) {
+    if (mayHaveRuns && !isLastAttempt) {
         if (!server.heldStarts.empty()) { // other backend servers take these tasks meanwhile
             dropHeldStarts(now, server, ended);
             server.blockedUntil = std::max(server.blockedUntil, now + unhealthyBlockUs);
         }
-        if (server.holdSequence == 0)
+        if (!std::exchange(server.isVerifying, true))
             sendHold(now, server, server.stage == Stage::Usable && !server.runs.empty(), 0, actions);
         return;
     }
@@ -132,20 +163,28 @@
     const auto found = m_runs.find(event.task);
     const bool isKnown =
             found != m_runs.end() && found->second.number == event.run && found->second.server == foundServer->second;
-    if (!isKnown)
+    if (!isKnown) {
+        onLateStartResult(now, event);
         return;
+    }
     Run &run = found->second;
-    if (server.stage == Stage::Fenced
-        && (event.outcome == OrderOutcome::Accepted || event.outcome == OrderOutcome::Unknown)) {
+    if (event.outcome == OrderOutcome::Unknown)
+        run.unansweredAt = std::min(run.unansweredAt, now);
+    if (server.stage == Stage::Fenced && event.outcome == OrderOutcome::Accepted) {
         endRun(now, event.task, RunEnd::Lost, std::max<TimeUs>(server.leasesEndBy - now, 0), ended);
         return;
     }
+    if (server.stage == Stage::Fenced && event.outcome == OrderOutcome::Unknown) {
+        loseUnconfirmed(now, server, event.task, run, ended);
+        return;
+    }
     switch (event.outcome) {
     case OrderOutcome::Accepted:
         server.missingAnswers = 0;
         m_startDelay.learn(now - run.orderedAt, run.unansweredStarts);
         if (event.clock && isBehind(server, *event.clock)) { // it has restarted
             server.leasesEndBy = std::max(server.leasesEndBy, now + leaseBound(m_settings.maxLeaseUs));
+            run.isAfterRestart = true;
             if (server.stage == Stage::Usable)
                 sendHold(now, server, false, 0, actions);
         }
@@ -155,10 +194,11 @@
             run.state = RunState::Running;
         return;
     case OrderOutcome::Fenced: {
-        const bool isOwnToken = run.token < server.token;  // the backend server has seen the present token of this VM
+        const bool isOwnToken = run.token < server.token; // the backend server has seen the present token of this VM
+        const TimeUs sentAt = run.orderedAt;
         endRun(now, event.task, RunEnd::NotRun, 0, ended); // the order had no effect
         if (!isOwnToken)
-            onFenced(now, server, actions, ended);
+            onFenced(now, server, sentAt, actions, ended);
         return;
     }
     case OrderOutcome::OtherInstance:
@@ -173,7 +213,7 @@
         return;
     case OrderOutcome::NotSent:
         endRun(now, event.task, RunEnd::NotRun, 0, ended);
-        onMissingAnswer(now, server, actions, ended);
+        onMissingAnswer(now, server, false, actions, ended);
         return;
     case OrderOutcome::NoRoom:
     case OrderOutcome::Malformed:
@@ -194,7 +234,19 @@
     // The order may still be carried out. Once a stop is answered, the run is either listed or will never start.
     if (run.state == RunState::Starting)
         stopRun(now, event.task, run, actions);
-    onMissingAnswer(now, server, actions, ended);
+    onMissingAnswer(now, server, false, actions, ended);
+}
+
+// The result of a start whose run has been given up in the meantime.
+void Commander::onLateStartResult(TimeUs now, const StartResult &event)
+{
+    if (event.outcome == OrderOutcome::Unknown)
+        return;
+    if (event.outcome == OrderOutcome::Accepted)
+        m_unconfirmedStarts.settle(now, event.task, event.server, event.run, StartFate::Bounded,
+                                   now + leaseBound(m_settings.maxLeaseUs));
+    else
+        m_unconfirmedStarts.settle(now, event.task, event.server, event.run, StartFate::Settled, now);
 }
 
 void Commander::onStopResult(TimeUs now, const StopResult &event, std::vector<Action> &actions)
@@ -207,11 +259,8 @@
         return;
     if (event.clock)
         readClock(server, *event.clock, false);
-    if (event.outcome == OrderOutcome::Accepted) {
-        std::erase_if(server.unconfirmedStarts, [&](const UnconfirmedStart &start) {
-            return start.task == event.task && start.run == event.run;
-        });
-    }
+    if (event.outcome == OrderOutcome::Accepted)
+        m_unconfirmedStarts.settle(now, event.task, event.server, event.run, StartFate::Settled, now + stopBoundUs);
     const auto found = m_runs.find(event.task);
     if (found == m_runs.end() || found->second.number != event.run || found->second.server != foundServer->second)
         return;
--- a/packages/command/commander_limits.h
+++ b/packages/command/commander_limits.h
@@ -9,8 +9,10 @@
 constexpr TimeUs clockResolutionUs = 2 * usPerMs;    // clocks are reported in whole milliseconds
 constexpr TimeUs minProbeIntervalUs = 100 * usPerMs; // between holds to a backend server that does not answer
 constexpr TimeUs maxProbeIntervalUs = 800 * usPerMs; // the same, after several missing answers
-constexpr TimeUs stopTimeoutUs = 80 * usPerMs;       // a stop without an answer is sent again after this
-constexpr TimeUs unhealthyBlockUs = 150 * usPerMs;   // after the answer "unhealthy"
+constexpr TimeUs answerTimeoutUs = 150 * usPerMs;    // of orders that are answered at once: 100 round-trip times
+constexpr TimeUs stopBoundUs = 100 * usPerMs;  // a run has ended by then after its stop was answered; it takes 50 ms
+constexpr TimeUs stopTimeoutUs = 80 * usPerMs; // a stop without an answer is sent again after this
+constexpr TimeUs unhealthyBlockUs = 150 * usPerMs; // after the answer "unhealthy"
 
 constexpr TimeUs maxListAgeUs = 20 * usPerMs; // lists are handled within a pass of the control thread
 
--- a/packages/command/events.h
+++ b/packages/command/events.h
@@ -10,6 +10,7 @@
 
 #include "command/crash_record.h"
 #include "command/types.h"
+#include "command/unconfirmed_starts.h"
 
 #include <optional>
 #include <string>
@@ -246,7 +247,7 @@
     AnswerKind kind = AnswerKind::Failed;
     std::string reason;        // of Failed and Refused
     std::string detail;        // of Malformed
-    TimeUs retryAfterUs = 0;   // of Refused and NotReady: when to submit again
+    TimeUs retryAfterUs = 0;   // of Refused, NotReady and GivenUp: when to submit again; 0: not known
     std::uint32_t pending = 0; // of Pending
     bool running = false;      // of State: false means queued
 };
@@ -307,10 +308,11 @@
     std::uint32_t lossCount = 0; // how often the sender has lost the receiver and given up the runs it requested there
     std::vector<ServerCapacity> capacities; // changes since the last report; not usable: remove the entry
     std::int64_t configurationVersion = 0;
-    bool wantsCapacity = true;       // the sender has waiting tasks, or had some recently
-    TimeUs startQueueUs = 0;         // expected wait of a further start at the link of the sender
-    TimeUs perStartUs = 0;           // what each further start adds to it
-    std::vector<CrashCount> crashes; // changes since the last report
+    bool wantsCapacity = true;                       // the sender has waiting tasks, or had some recently
+    TimeUs startQueueUs = 0;                         // expected wait of a further start at the link of the sender
+    TimeUs perStartUs = 0;                           // what each further start adds to it
+    std::vector<CrashCount> crashes;                 // changes since the last report
+    std::vector<UnconfirmedStart> unconfirmedStarts; // changes since the last report
 };
 // A configuration that the receiver may not have yet.
 struct RelayedConfiguration
--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -257,6 +257,7 @@
     checkRunning();
     removeLapsedServers();
     m_crashes.expire(m_now);
+    m_commander.expireUnconfirmedStarts(m_now);
     m_dispatchNeeded = true;
     if (m_drainingSince != never && m_now - m_drainingSince >= minDrainUs)
         m_commander.disableStarts();
@@ -454,6 +455,8 @@
             return;
         }
     }
+    if (!blockUnconfirmedTasks(kept))
+        return;
     blockEndingTasks(kept);
     setInQueue(kept, kept.waiting > 0);
     m_dispatchNeeded = true;
@@ -539,12 +542,12 @@
 }
 
 // For jobs of which tasks may have run, so that neither "failed" nor "not run" would be correct.
-void FleetDispatcher::giveUpJob(Job &job, std::string_view reason)
+void FleetDispatcher::giveUpJob(Job &job, std::string_view reason, TimeUs retryAfterUs)
 {
     ++m_counters.givenUp;
     ++m_counters.reasons[reason];
     stopRuns(job);
-    endJob(job, AnswerKind::GivenUp, reason, 0);
+    endJob(job, AnswerKind::GivenUp, reason, retryAfterUs);
 }
 
 // Only for jobs of which nothing has been started.
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -137,6 +137,7 @@
         bool reportedWant = false;         // wantsCapacity of the last report sent to it
         std::uint64_t reportedVersion = 0; // of m_reported, as last sent to it
         std::uint64_t reportedCrashes = 0; // version of m_crashes, as last sent to it
+        std::uint64_t reportedStarts = 0;  // version of the unconfirmed starts, as last sent to it
     };
     struct ReportedCapacity
     {
@@ -229,7 +230,7 @@
     void answer(CallerId caller, AnswerKind kind, std::string_view reason = {}, TimeUs retryAfterUs = 0);
     void completeJob(Job &job);
     void failJob(Job &job, std::string_view reason);
-    void giveUpJob(Job &job, std::string_view reason);
+    void giveUpJob(Job &job, std::string_view reason, TimeUs retryAfterUs = 0);
     void refuseJob(Job &job, std::string_view reason, TimeUs retryAfterUs);
     void endJob(Job &job, AnswerKind kind, std::string_view reason, TimeUs retryAfterUs);
     void stopRuns(Job &job);
@@ -258,6 +259,8 @@
     void deliverRunEnds();
     void onCrash(const TaskId &task, std::string_view server, CrashNotice notice);
     void setCrashes(const CrashCount &counts);
+    void applyUnconfirmedStarts();
+    bool blockUnconfirmedTasks(Job &job);
     void refuseHopelessJobs();
     void checkRunning();
 
@@ -271,6 +274,7 @@
     TimeUs contactTime() const;
     void confirmContact(const std::string &node, Peer &peer);
     void updateReportedCapacities();
+    bool hasNewsFor(const Peer &peer) const;
     bool isReportDue(const Peer &peer) const;
     void sendReport(const std::string &node, Peer &peer, bool withCapacities);
     void sendCapacityReports();
@@ -296,6 +300,7 @@
     std::vector<CapacityReport::ServerCapacity> m_ownCapacities; // of one dispatch()
     // Of one job in placeJob(), by node and by the resources that are reserved for each task.
     std::map<std::pair<std::string, Resources>, std::vector<PlaceTasks::Item>> m_orders;
+    std::uint64_t m_appliedStarts = 0; // version of the unconfirmed starts that the jobs here know
     std::vector<RunEndNotice> m_ended;
     std::vector<Action> *m_actions = nullptr; // of one apply() or placeTasks()
     TimeUs m_now = 0;                         // of one apply() or placeTasks()
--- a/packages/command/fleet_peers.cpp
+++ b/packages/command/fleet_peers.cpp
@@ -217,6 +217,8 @@
         if (m_crashes.merge(m_now, crash))
             setCrashes(m_crashes.find(crash.task));
     }
+    for (const UnconfirmedStart &start : message.unconfirmedStarts)
+        m_commander.mergeUnconfirmedStart(m_now, start, *m_actions);
     std::erase_if(peer.inFlight, [&](const InFlight &order) {
         if (order.sequence > message.lastSequence)
             return false;
@@ -290,6 +292,10 @@
             m_commands && peer.coordinates ? idleHeartbeatIntervalUs : idleFrontHeartbeatIntervalUs;
     if (sinceReport >= (peer.inUse ? heartbeatIntervalUs : idleIntervalUs))
         return true;
+    // A caller whose job was given up for such a start may submit it again anywhere.
+    if (peer.coordinates && peer.reportedStarts < m_commander.unconfirmedStarts().version()
+        && sinceReport >= reportIntervalUs)
+        return true;
     const bool wants = m_now - m_waitedAt < wantDurationUs;
     if (wants && !peer.reportedWant && peer.coordinates)
         return true;
@@ -302,6 +308,13 @@
     return peer.wantsCapacity && sinceReport >= otherZoneReportIntervalUs;
 }
 
+// Whether the end of a run must be preceded by a report, so that its coordinator knows why the run has ended.
+bool FleetDispatcher::hasNewsFor(const Peer &peer) const
+{
+    return peer.reportedCrashes < m_crashes.version()
+            || peer.reportedStarts < m_commander.unconfirmedStarts().version();
+}
+
 void FleetDispatcher::sendReport(const std::string &node, Peer &peer, bool withCapacities)
 {
     CapacityReport report;
@@ -324,6 +337,10 @@
     }
     if (peer.reportedCrashes < m_crashes.version())
         report.crashes = m_crashes.changedSince(std::exchange(peer.reportedCrashes, m_crashes.version()));
+    if (peer.reportedStarts < m_commander.unconfirmedStarts().version()) {
+        const UnconfirmedStarts &starts = m_commander.unconfirmedStarts();
+        report.unconfirmedStarts = starts.changedSince(m_now, std::exchange(peer.reportedStarts, starts.version()));
+    }
     peer.reportAt = m_now;
     peer.reportedWant = report.wantsCapacity;
     m_actions->push_back(SendPeer{node, std::move(report)});
--- a/packages/command/fleet_placing.cpp
+++ b/packages/command/fleet_placing.cpp
@@ -246,6 +246,7 @@
 // otherwise that it was given up, which makes the caller submit it again.
 void FleetDispatcher::deliverRunEnds()
 {
+    applyUnconfirmedStarts();
     while (!m_ended.empty()) {
         const std::vector<RunEndNotice> ended = std::move(m_ended);
         m_ended.clear();
@@ -262,7 +263,7 @@
                 continue;
             }
             const auto peer = m_peers.find(end.coordinator);
-            if (peer != m_peers.end() && peer->second.connected && peer->second.reportedCrashes < m_crashes.version())
+            if (peer != m_peers.end() && peer->second.connected && hasNewsFor(peer->second))
                 sendReport(peer->first, peer->second, false);
             m_actions->push_back(SendPeer{end.coordinator, end.ended});
         }
@@ -299,6 +300,55 @@
     }
 }
 
+// Blocks the tasks whose earlier runs may not have ended. A task whose start may yet be carried out cannot be started
+// for so long that its job is given up at once; returns false then. A refusal would say that nothing has run.
+bool FleetDispatcher::blockUnconfirmedTasks(Job &job)
+{
+    for (const UnconfirmedStart &start : m_commander.unconfirmedStarts().ofJob(m_now, job.id)) {
+        if (start.task.index >= job.tasks.size())
+            continue;
+        const TimeUs endsBy = m_now + start.remainingUs;
+        if (endsBy + job.workUs > job.lastUsefulAt) {
+            giveUpJob(job, unconfirmedStart, start.remainingUs);
+            return false;
+        }
+        const auto found = m_endingRuns.find(start.task);
+        if (found == m_endingRuns.end() || found->second.endsBy < endsBy)
+            m_endingRuns[start.task] = {std::string(selfNode), start.server, start.run, endsBy};
+    }
+    return true;
+}
+
+// Applies changes of the unconfirmed starts to the jobs here. A job whose task may also be carried out elsewhere is
+// given up, and tasks that wait for a start that has been settled wait no longer than for its end.
+void FleetDispatcher::applyUnconfirmedStarts()
+{
+    const UnconfirmedStarts &starts = m_commander.unconfirmedStarts();
+    if (starts.version() == m_appliedStarts)
+        return;
+    for (const UnconfirmedStart &start : starts.changedSince(m_now, std::exchange(m_appliedStarts, starts.version()))) {
+        logLine(start.fate == StartFate::Unknown, "jobs",
+                concat("start without an answer job=", start.task.job, " task=", start.task.index, " run=", start.run,
+                       " server=", start.server, " fate=", toString(start.fate),
+                       " dead_after_ms=", start.remainingUs / usPerMs));
+        const TimeUs endsBy = m_now + start.remainingUs;
+        const auto ending = m_endingRuns.find(start.task);
+        if (ending != m_endingRuns.end() && ending->second.server == start.server && ending->second.run == start.run)
+            ending->second.endsBy = start.fate == StartFate::Unknown ? std::max(ending->second.endsBy, endsBy)
+                                                                     : std::min(ending->second.endsBy, endsBy);
+        const auto found = m_jobs.find(start.task.job);
+        if (found == m_jobs.end() || start.task.index >= found->second.tasks.size())
+            continue;
+        Task &task = found->second.tasks[start.task.index];
+        const bool isSameRun = task.server == start.server && task.run == start.run;
+        if (start.fate != StartFate::Unknown && task.state == TaskState::Blocked && isSameRun)
+            task.retryAt = std::min(task.retryAt, endsBy);
+        // The end of the run that the task is waiting for is reported to its coordinator by itself.
+        if (start.fate == StartFate::Unknown && task.state != TaskState::Done && !isSameRun)
+            giveUpJob(found->second, unconfirmedStart, start.remainingUs);
+    }
+}
+
 void FleetDispatcher::onEndingRun(const std::string &node, const TaskEnded &ended)
 {
     const auto found = m_endingRuns.find(ended.task);
@@ -385,7 +435,8 @@
         task.retryAt = std::min(task.retryAt, m_now + ended.maxRemainingUs);
     task.losses += ended.end == RunEnd::Lost && !isPeerLost ? 1 : 0;
     if (task.losses >= maxLosses || m_now + ended.maxRemainingUs + job.workUs > job.lastUsefulAt) {
-        giveUpJob(job, ended.end == RunEnd::Lost ? "run_lost" : "too_late_to_repeat");
+        const bool isLost = ended.end == RunEnd::Lost;
+        giveUpJob(job, isLost ? "run_lost" : "too_late_to_repeat", isLost ? ended.maxRemainingUs : 0);
     } else if (ended.maxRemainingUs > 0) {
         task.state = TaskState::Blocked;
         task.retryAt = m_now + ended.maxRemainingUs;
--- a/packages/command/job.h
+++ b/packages/command/job.h
@@ -12,6 +12,9 @@
 // Reason of a job that is given up because too many may have crashed under one of its tasks.
 constexpr std::string_view suspectedCrashes = "suspected_crashes";
 
+// Reason of a job that is given up because an earlier start of one of its tasks may yet be carried out.
+constexpr std::string_view unconfirmedStart = "unconfirmed_start";
+
 enum class TaskState : std::uint8_t {
     Waiting, // for free capacity
     Placed,  // a start was ordered
--- a/packages/net/fleet_codec.cpp
+++ b/packages/net/fleet_codec.cpp
@@ -56,10 +56,14 @@
     for (const command::CrashCount &crash : message.crashes)
         crashes.push_back(Json::array(
                 {crash.task.job, crash.task.index, crash.count, crash.suspected, crash.lost, crash.decided}));
+    Json starts = Json::array();
+    for (const command::UnconfirmedStart &start : message.unconfirmedStarts)
+        starts.push_back(Json::array({start.task.job, start.task.index, start.server, start.run,
+                                      static_cast<unsigned>(start.fate), start.occurrence, start.remainingUs}));
     return Json::array({Type::Room, message.sentAt, message.coordinates, message.stopping, message.lastSequence,
                         message.hasRecentContact, message.lossCount, std::move(capacities),
                         message.configurationVersion, message.wantsCapacity, message.startQueueUs, message.perStartUs,
-                        std::move(crashes)});
+                        std::move(crashes), std::move(starts)});
 }
 
 Json encode(const command::RelayedConfiguration &message)
@@ -256,6 +260,23 @@
             message.crashes.push_back(std::move(crash));
         }
     }
+    if (fields.hasMore()) { // earlier versions do not send them
+        for (const Json &row : fields.list()) {
+            Elements items(row, 0);
+            command::UnconfirmedStart start;
+            start.task.job = items.text();
+            start.task.index = items.number<std::uint32_t>();
+            start.server = items.text();
+            start.run = items.number<command::RunNumber>();
+            const auto fate = items.number<unsigned>();
+            start.fate = static_cast<command::StartFate>(fate);
+            start.occurrence = items.number<std::uint32_t>();
+            start.remainingUs = items.number<command::TimeUs>();
+            if (!items.isValid() || fate > static_cast<unsigned>(command::StartFate::Settled))
+                return false;
+            message.unconfirmedStarts.push_back(std::move(start));
+        }
+    }
     return fields.isValid();
 }
 
--- a/tests/unit/command/commander_test.cpp
+++ b/tests/unit/command/commander_test.cpp
@@ -49,6 +49,17 @@
         result.running = std::move(running);
         commander.onHoldResult(now, result, actions, ended);
     }
+    // The open hold gets no answer.
+    void loseHold(TimeUs afterUs, bool isRefused)
+    {
+        now += afterUs;
+        HoldResult lost;
+        lost.server = "s-0";
+        lost.sequence = lastHold();
+        lost.outcome = isRefused ? OrderOutcome::NotSent : OrderOutcome::Unknown;
+        lost.isRefused = isRefused;
+        commander.onHoldResult(now, lost, actions, ended);
+    }
     bool start(const std::string &job)
     {
         PlaceTasks order;
@@ -328,5 +339,143 @@
     CHECK(pickAll<SendHold>(fixture.actions).empty());
 }
 
+// The longest remaining time of the runs that were reported as lost.
+TimeUs longestLoss(const std::vector<RunEndNotice> &ended)
+{
+    TimeUs longestUs = 0;
+    for (const RunEndNotice &end : ended) {
+        if (end.crash == CrashNotice::None)
+            longestUs = std::max(longestUs, end.ended.maxRemainingUs);
+    }
+    return longestUs;
+}
+
+// Guards against a lease that counts as the bound of a start which another incarnation may have received: late orders
+// are carried out within 12 s, and a lease lasts for 1 s.
+TEST_CASE("an unanswered start on a backend server of which nothing was heard since may begin for seconds")
+{
+    SingleServer fixture;
+    REQUIRE(fixture.start("first")); // opens a hold
+    fixture.answerHold(500000, 1000, {});
+    fixture.startResult("first", OrderOutcome::Accepted, ClockReading{500000, fixture.now, fixture.now});
+    fixture.answerHold(500000, 1000, {{{"first", 0}, 1}});
+    REQUIRE(fixture.start("unanswered"));
+    fixture.now += 150 * usPerMs;
+    fixture.startResult("unanswered", OrderOutcome::Unknown, std::nullopt);
+    fixture.loseHold(500 * usPerMs, false);
+    CHECK_FALSE(fixture.start("next"));
+    CHECK(longestLoss(fixture.ended) >= 13 * usPerS);
+    for (const RunEndNotice &end : fixture.ended) {
+        if (end.ended.task.job == "first")
+            CHECK(end.ended.maxRemainingUs <= 1100 * usPerMs);
+    }
+}
+
+// Guards against callers that are told to wait for seconds although the lease of the start is certain to end its run.
+TEST_CASE("an unanswered start is bounded by its lease when the expected incarnation was heard after it")
+{
+    SingleServer fixture;
+    REQUIRE(fixture.start("unanswered"));
+    fixture.answerHold(500000, 1000, {});
+    fixture.now += 150 * usPerMs;
+    fixture.startResult("unanswered", OrderOutcome::Unknown, std::nullopt);
+    fixture.answerHold(500150, 1000, {}); // to the hold that was open
+    fixture.now += usPerMs;
+    fixture.answerHold(500151, 1000, {}); // to a hold that was sent after the start
+    fixture.loseHold(150 * usPerMs, false);
+    fixture.loseHold(150 * usPerMs, false);
+    CHECK_FALSE(fixture.commander.hasRuns());
+    CHECK(longestLoss(fixture.ended) <= 1100 * usPerMs);
+}
+
+// Guards against an answer that was on its way during a restart and counts as one after the start.
+TEST_CASE("lists that were requested before an unanswered start do not bound it")
+{
+    SingleServer fixture;
+    REQUIRE(fixture.start("unanswered"));
+    fixture.answerHold(500000, 1000, {});
+    const std::uint64_t openHold = fixture.lastHold();
+    fixture.now += 150 * usPerMs;
+    fixture.startResult("unanswered", OrderOutcome::Unknown, std::nullopt);
+    HoldResult early;
+    early.server = "s-0";
+    early.sequence = openHold;
+    early.outcome = OrderOutcome::Accepted;
+    early.clock = ClockReading{500010, fixture.now - 140 * usPerMs, fixture.now};
+    early.incarnationStartMs = 1000;
+    fixture.commander.onHoldResult(fixture.now, early, fixture.actions, fixture.ended);
+    fixture.loseHold(150 * usPerMs, false);
+    CHECK_FALSE(fixture.commander.hasRuns());
+    CHECK(longestLoss(fixture.ended) >= 13 * usPerS);
+}
+
+// Guards against tasks that stay blocked after a crash that shows: the process that may have received the start is
+// gone.
+TEST_CASE("an unanswered start is settled when a later connection is refused")
+{
+    SingleServer fixture;
+    REQUIRE(fixture.start("unanswered"));
+    fixture.answerHold(500000, 1000, {});
+    fixture.now += 150 * usPerMs;
+    fixture.startResult("unanswered", OrderOutcome::Unknown, std::nullopt);
+    SECTION("at once")
+    {
+        fixture.loseHold(usPerMs, true);
+        CHECK_FALSE(fixture.commander.hasRuns());
+        CHECK(longestLoss(fixture.ended) <= 1100 * usPerMs);
+    }
+    SECTION("after a time without any answer")
+    {
+        fixture.loseHold(150 * usPerMs, false);
+        CHECK_FALSE(fixture.commander.hasRuns());
+        CHECK(fixture.commander.unconfirmedStarts().openOn(fixture.now, "s-0").size() == 1);
+        fixture.now += usPerS;
+        fixture.commander.tick(fixture.now, fixture.actions, fixture.ended);
+        fixture.loseHold(usPerMs, true);
+    }
+    CHECK(fixture.commander.unconfirmedStarts().openOn(fixture.now, "s-0").empty());
+}
+
+// Guards against tasks that are lost with a backend server that is at work: two of its orders were not answered.
+TEST_CASE("starts without an answer do not make a backend server suspect that answers when it is asked")
+{
+    SingleServer fixture;
+    REQUIRE(fixture.start("accepted"));
+    fixture.answerHold(500000, 1000, {});
+    fixture.startResult("accepted", OrderOutcome::Accepted, ClockReading{500000, fixture.now, fixture.now});
+    REQUIRE(fixture.start("unanswered"));
+    REQUIRE(fixture.start("other"));
+    fixture.now += 150 * usPerMs;
+    fixture.startResult("unanswered", OrderOutcome::Unknown, std::nullopt);
+    fixture.startResult("other", OrderOutcome::Unknown, std::nullopt);
+    const SendHold question = pickAll<SendHold>(fixture.actions).back();
+    CHECK(question.waitMs == 0);
+    CHECK(fixture.ended.empty());
+    REQUIRE(fixture.start("next")); // is sent after the answer
+    CHECK(pickAll<SendStart>(fixture.actions).back().task.job == "other");
+    fixture.now += usPerMs;
+    fixture.answerHold(500151, 1000, {{{"accepted", 0}, 1}});
+    CHECK(fixture.ended.empty());
+    CHECK(pickAll<SendStart>(fixture.actions).back().task.job == "next");
+}
+
+// Guards against a task that is started again because its unanswered start came to a higher fencing token, while
+// another incarnation without that token may receive it.
+TEST_CASE("a start that was under way when the fencing token was rejected may begin for seconds")
+{
+    SingleServer fixture;
+    REQUIRE(fixture.start("unanswered"));
+    fixture.answerHold(500000, 1000, {});
+    HoldResult fenced;
+    fenced.server = "s-0";
+    fenced.sequence = fixture.lastHold();
+    fenced.outcome = OrderOutcome::Fenced;
+    fixture.commander.onHoldResult(fixture.now, fenced, fixture.actions, fixture.ended);
+    fixture.now += 150 * usPerMs;
+    fixture.startResult("unanswered", OrderOutcome::Unknown, std::nullopt);
+    CHECK_FALSE(fixture.commander.hasRuns());
+    CHECK(longestLoss(fixture.ended) >= 13 * usPerS);
+}
+
 } // namespace
 } // namespace clementinelift::command
--- a/tests/unit/command/fleet_coordination_test.cpp
+++ b/tests/unit/command/fleet_coordination_test.cpp
@@ -433,7 +433,12 @@
     REQUIRE(world.server(0).runs.contains({second.id, 0}));
     world.deliver(0, ShardsAssigned{102, 8, all});
     world.deliver(1, ShardsAssigned{102, 8, {}});
+    const std::int64_t leaseEndMs = world.server(0).leaseEndMs;
     world.runFor(4 * usPerS);
+    CHECK(world.server(0).leaseEndMs == leaseEndMs);
+    CHECK(world.server(0).runs.empty());
+    CHECK(world.startsOf(second.id) == 1); // the first start had no answer, and nothing has been heard since
+    world.runFor(12 * usPerS);
     CHECK(world.startsOf(second.id) == 2);
     CHECK(join(world.violations()).empty());
 }
--- a/tests/unit/command/fleet_resubmission_fuzz_test.cpp
+++ b/tests/unit/command/fleet_resubmission_fuzz_test.cpp
@@ -21,6 +21,7 @@
     enum class Faults : std::uint8_t {
         Usual,
         LateRestarts,    // a crashed backend server is back within 50 ms, carries orders out late, and is cut off
+        LateBehindCuts,  // as LateRestarts, and orders that have arrived are carried out during the cut
         LateAssignments, // entry VMs learn late which backend servers they command
     };
 
@@ -29,6 +30,7 @@
                    .speeds = {0.7, 0.7, 1.7},
                    .sizes = {1.0, 1.0, 1.5},
                    .joinIntervalUs = faults == Faults::LateAssignments ? 300 * usPerMs : 0,
+                   .lateOrdersArrive = faults == Faults::LateBehindCuts,
                    .seed = seed,
                    .trace = std::getenv("FLEET_FUZZ_TRACE") != nullptr}),
           m_load(seed % 5 == 0 ? 0.1 : 0.5), m_faults(faults)
@@ -197,7 +199,7 @@
             if (!m_world.server(server).up)
                 break;
             m_world.crash(server);
-            if (m_faults == Faults::LateRestarts) {
+            if (m_faults == Faults::LateRestarts || m_faults == Faults::LateBehindCuts) {
                 m_world.after((1 + pick(50)) * usPerMs, [this, server] { restartLate(server); });
                 break;
             }
@@ -243,11 +245,13 @@
     void restartLate(int server)
     {
         m_world.reboot(server, pick(2000) * usPerMs);
-        m_world.setLostAnswers(0.3, pick(3000) * usPerMs);
+        const bool isBehindCut = m_faults == Faults::LateBehindCuts;
+        m_world.setLostAnswers(isBehindCut ? 0.7 : 0.3, (isBehindCut ? 2000 : 0) * usPerMs + pick(3000) * usPerMs);
         m_world.after(500 * usPerMs, [this] { m_world.setLostAnswers(0, 0); });
-        m_world.after((1 + pick(400)) * usPerMs, [this, server] {
+        m_world.after((1 + pick(400)) * usPerMs, [this, server, isBehindCut] {
             cutFromAll(server, true);
-            m_world.after((200 + pick(1500)) * usPerMs, [this, server] { cutFromAll(server, false); });
+            const TimeUs cutUs = (200 + pick(isBehindCut ? 6000 : 1500)) * usPerMs;
+            m_world.after(cutUs, [this, server] { cutFromAll(server, false); });
         });
     }
     void cutFromAll(int server, bool cut)
@@ -289,6 +293,11 @@
     runSeeds(ResubmissionRun::Faults::LateRestarts);
 }
 
+TEST_CASE("random restarts of backend servers that carry orders out late behind cuts cause no overlapping runs")
+{
+    runSeeds(ResubmissionRun::Faults::LateBehindCuts);
+}
+
 TEST_CASE("random reassignments of backend servers that entry VMs learn late cause no overlapping runs")
 {
     runSeeds(ResubmissionRun::Faults::LateAssignments);
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -51,6 +51,8 @@
     std::size_t specBytes = 4;       // specification of a job, contained in each of its orders
     std::uint32_t shards = 8;
     TimeUs joinIntervalUs = 0; // an entry VM learns its newest shards within this; 0: all learn them at once
+    // An order that is carried out late has arrived when it was sent: a cut that begins later does not stop it.
+    bool lateOrdersArrive = false;
     std::uint64_t seed = 1;
     bool trace = false; // prints log lines and runs
 };
@@ -708,7 +710,8 @@
             *answered = true;
         });
         const TimeUs startedAt = m_servers[static_cast<std::size_t>(target)].startedAt;
-        after(delayUs, [this, index, incarnation, target, order, sentAt, isLost, answered, startedAt] {
+        const bool hasArrived = isLost && m_settings.lateOrdersArrive && m_cutServers.count({index, target}) == 0;
+        after(delayUs, [this, index, incarnation, target, order, sentAt, isLost, answered, startedAt, hasArrived] {
             SimServer &server = m_servers[static_cast<std::size_t>(target)];
             if (!server.up && server.refuses && m_cutServers.count({index, target}) == 0 && !*answered) {
                 *answered = true;
@@ -721,7 +724,8 @@
                 return;
             }
             // A delayed order is lost when the backend server has restarted in the meantime.
-            if (!server.up || server.startedAt != startedAt || m_cutServers.count({index, target}) > 0)
+            const bool isCut = !hasArrived && m_cutServers.count({index, target}) > 0;
+            if (!server.up || server.startedAt != startedAt || isCut)
                 return;
             carryOut(server, target, index, order, sentAt, [=, this](Event event) {
                 if (isLost || m_servers[static_cast<std::size_t>(target)].unresponsive
