Do not count on the lease of a start that a lost commander may have left unanswered

The coordinator of the job, and any entry VM that got the job again, counted on the end of its lease.

The commander does not tell its coordinators which starts were answered, so a start on a backend server that had restarted was bounded like all others.

Commanders now report the sequence number up to which all runs that a coordinator has requested exist, have ended or will never begin. A run that its commander knows is stopped and settled without claiming its backend server again. Retry-After is at most 2 s, because such a start is settled once its backend server has another commander.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -204,6 +204,35 @@
     ++m_capacityVersion;
 }
 
+// From now on the run exists, or it is certain that it will not.
+void Commander::confirm(TimeUs now, Run &run)
+{
+    if (run.acceptedAt == never)
+        forgetUnconfirmed(run);
+    run.acceptedAt = std::min(run.acceptedAt, now);
+}
+
+void Commander::forgetUnconfirmed(const Run &run)
+{
+    const auto ofCoordinator = m_unconfirmedRuns.find(run.coordinator);
+    const auto ofOrder = ofCoordinator->second.find(run.sequence);
+    if (--ofOrder->second == 0)
+        ofCoordinator->second.erase(ofOrder);
+    if (ofCoordinator->second.empty())
+        m_unconfirmedRuns.erase(ofCoordinator);
+}
+
+std::uint64_t Commander::firstUnconfirmed(std::string_view coordinator) const
+{
+    const auto found = m_unconfirmedRuns.find(coordinator);
+    return found == m_unconfirmedRuns.end() ? 0 : found->second.begin()->first;
+}
+
+void Commander::addUnconfirmedStart(TimeUs now, const TaskId &task, std::string_view server, RunNumber run)
+{
+    m_unconfirmedStarts.add(now, task, server, run, StartFate::Unknown, now + lateStartLimitUs);
+}
+
 // The time from which an unanswered start cannot reach a backend server that has not received it: the client closes the
 // connection of an order without an answer.
 TimeUs Commander::undeliverableFrom(const Run &run)
@@ -408,9 +437,11 @@
     run.coordinator = coordinator;
     run.server = found->second;
     run.number = item.run;
+    run.sequence = order.sequence;
     run.resources = order.taskResources;
     run.orderedAt = now;
     run.expectedUs = order.expectedUs;
+    ++m_unconfirmedRuns[run.coordinator][run.sequence];
     Run &kept = m_runs.emplace(task, std::move(run)).first->second;
     server.used += order.taskResources;
     server.runs.push_back(task);
@@ -477,13 +508,18 @@
 
 // Ends ----------------------------------------------------------------------------------------------
 
-void Commander::endRun(TimeUs, const TaskId &task, RunEnd end, TimeUs maxRemainingUs, std::vector<RunEndNotice> &ended)
+void Commander::endRun(TimeUs now, const TaskId &task, RunEnd end, TimeUs maxRemainingUs,
+                       std::vector<RunEndNotice> &ended)
 {
     const auto found = m_runs.find(task);
     if (found == m_runs.end())
         return;
     Run &run = found->second;
+    if (run.acceptedAt == never)
+        forgetUnconfirmed(run);
     Server &server = m_servers[run.server];
+    if (maxRemainingUs == 0) // a coordinator that has lost this entry VM may wait for it
+        m_unconfirmedStarts.settle(now, task, server.entry.id, run.number, StartFate::Settled, now);
     server.used -= run.resources;
     std::erase(server.runs, task);
     ++m_capacityVersion;
@@ -572,7 +608,7 @@
         found->second.isAfterRestart = false;
         if (found->second.state == RunState::Starting) {
             found->second.state = RunState::Running;
-            found->second.acceptedAt = now;
+            confirm(now, found->second);
         } else if (found->second.state == RunState::Stopping && now - found->second.stopSentAt > stopRepeatUs) {
             found->second.stopSentAt = now;
             sendStop(now, server, running.task, running.run, actions);
@@ -642,8 +678,12 @@
     if (!m_unconfirmedStarts.merge(now, reported))
         return false;
     const auto found = m_indexes.find(reported.server);
-    if (found != m_indexes.end() && reported.fate == StartFate::Unknown
-        && m_servers[found->second].stage == Stage::Usable)
+    if (found == m_indexes.end() || reported.fate != StartFate::Unknown)
+        return true;
+    const auto run = m_runs.find(reported.task);
+    if (run != m_runs.end() && run->second.server == found->second && run->second.number == reported.run)
+        stopRun(now, reported.task, run->second, actions); // its coordinator has lost this entry VM
+    else if (m_servers[found->second].stage == Stage::Usable)
         claimAgain(now, m_servers[found->second], actions);
     return true;
 }
--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -86,6 +86,10 @@
     // renewed on backend servers with runs of this coordinator.
     void setLastContact(const std::string &coordinator, TimeUs at) { m_lastContactAt[coordinator] = at; }
 
+    // The first PlaceTasks of a coordinator with a run that is not known to exist or to have ended; 0: none.
+    std::uint64_t firstUnconfirmed(std::string_view coordinator) const;
+    // A peer that may have sent the start is lost: the run may begin until the backend server is heard.
+    void addUnconfirmedStart(TimeUs now, const TaskId &task, std::string_view server, RunNumber run);
     // Applies the report of a peer about a start on any backend server; true when it says more than was known.
     bool mergeUnconfirmedStart(TimeUs now, const UnconfirmedStart &reported, std::vector<Action> &actions);
     void expireUnconfirmedStarts(TimeUs now) { m_unconfirmedStarts.expire(now); }
@@ -122,7 +126,8 @@
         std::string coordinator;
         std::uint32_t server = 0;
         RunNumber number = 0;
-        FencingToken token = 0; // of the start order
+        std::uint64_t sequence = 0; // of the PlaceTasks that requested it
+        FencingToken token = 0;     // of the start order
         Resources resources;
         RunState state = RunState::Starting;
         TimeUs orderedAt = 0;
@@ -191,6 +196,8 @@
     void claimAgain(TimeUs now, Server &server, std::vector<Action> &actions);
     void repeatStops(TimeUs now, const Server &server, std::vector<Action> &actions);
     void stopCommanding(TimeUs now, Server &server, std::vector<RunEndNotice> &ended);
+    void confirm(TimeUs now, Run &run);
+    void forgetUnconfirmed(const Run &run);
     static TimeUs undeliverableFrom(const Run &run);
     StartFate startFate(const Server &server, const Run &run) const;
     void abandonRuns(TimeUs now, Server &server, TimeUs endsBy, std::vector<RunEndNotice> &ended);
@@ -235,6 +242,8 @@
     TextMap<std::uint32_t> m_indexes;                           // by id
     std::map<TaskId, Run> m_runs;                               // ordered, so that equal inputs give equal actions
     std::map<std::string, TimeUs, std::less<>> m_lastContactAt; // by coordinator
+    // By coordinator and sequence of PlaceTasks: the number of runs that are not known to exist.
+    std::map<std::string, std::map<std::uint64_t, std::uint32_t>, std::less<>> m_unconfirmedRuns;
     ShardsAssigned m_shards;
     StartDelay m_startDelay;
     UnconfirmedStarts m_unconfirmedStarts;
--- a/packages/command/commander_answers.cpp
+++ b/packages/command/commander_answers.cpp
@@ -189,7 +189,7 @@
                 sendHold(now, server, false, 0, actions);
         }
         server.leasesLastUntil = std::max(server.leasesLastUntil, run.orderedAt + shortestLease(run.leaseUs));
-        run.acceptedAt = std::min(run.acceptedAt, now);
+        confirm(now, run);
         if (run.state == RunState::Starting)
             run.state = RunState::Running;
         return;
@@ -266,7 +266,7 @@
         return;
     if (event.outcome == OrderOutcome::Accepted) {
         // Lists requested from now on contain the end of the run, or nothing when the run never started.
-        found->second.acceptedAt = std::min(found->second.acceptedAt, now);
+        confirm(now, found->second);
         if (server.holdSequence == 0)
             sendHold(now, server, server.stage == Stage::Usable, 0, actions);
         else
--- a/packages/command/events.h
+++ b/packages/command/events.h
@@ -313,6 +313,8 @@
     TimeUs perStartUs = 0;                           // what each further start adds to it
     std::vector<CrashCount> crashes;                 // changes since the last report
     std::vector<UnconfirmedStart> unconfirmedStarts; // changes since the last report
+    // Of PlaceTasks from the receiver: the runs requested up to it exist, have ended, or will never begin.
+    std::uint64_t confirmedSequence = 0;
 };
 // A configuration that the receiver may not have yet.
 struct RelayedConfiguration
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -99,7 +99,8 @@
         std::string node; // commander
         std::string server;
         RunNumber run = 0;
-        TimeUs endsBy = 0; // latest end, also without contact to the commander
+        TimeUs endsBy = 0;          // latest end, also without contact to the commander
+        std::uint64_t sequence = 0; // of the PlaceTasks to the commander
     };
     struct InFlight
     {
@@ -124,13 +125,14 @@
         TimeUs startQueueUs = 0;   // as last reported by it
         TimeUs perStartUs = 0;     // as last reported by it
         TimeUs lastContactAt = 0;
-        TimeUs contactConfirmedAt = 0;     // last report with hasRecentContact set
-        std::uint32_t lossCount = 0;       // how often this entry VM has lost the peer
-        std::uint32_t remoteLossCount = 0; // how often the peer has lost this entry VM
-        TimeUs reportSentAt = 0;           // on its clock: when its last report was sent
-        TimeUs outdatedSince = never;      // its configuration is older than the one here
-        std::uint64_t lastSent = 0;        // sequence of PlaceTasks
-        std::uint64_t lastHandled = 0;     // sequence of PlaceTasks from it
+        TimeUs contactConfirmedAt = 0;       // last report with hasRecentContact set
+        std::uint32_t lossCount = 0;         // how often this entry VM has lost the peer
+        std::uint32_t remoteLossCount = 0;   // how often the peer has lost this entry VM
+        TimeUs reportSentAt = 0;             // on its clock: when its last report was sent
+        TimeUs outdatedSince = never;        // its configuration is older than the one here
+        std::uint64_t lastSent = 0;          // sequence of PlaceTasks
+        std::uint64_t lastHandled = 0;       // sequence of PlaceTasks from it
+        std::uint64_t confirmedSequence = 0; // as last reported by it
         std::vector<InFlight> inFlight;
         std::map<std::string, PeerCapacity, std::less<>> capacities;
         TimeUs reportAt = 0;               // when the last report was sent to it
@@ -245,7 +247,7 @@
     void collectCandidates();
     Resources smallestWaitingTask() const;
     void placeJob(Job &job, bool othersWait);
-    void sendOrder(const Job &job, const std::string &node, const Resources &taskResources,
+    void sendOrder(Job &job, const std::string &node, const Resources &taskResources,
                    std::vector<PlaceTasks::Item> &&items);
     void placeTask(Job &job, std::uint32_t index, const Candidate &candidate, const Resources &reserved,
                    TimeUs startUs);
--- a/packages/command/fleet_peers.cpp
+++ b/packages/command/fleet_peers.cpp
@@ -217,6 +217,7 @@
         if (m_crashes.merge(m_now, crash))
             setCrashes(m_crashes.find(crash.task));
     }
+    peer.confirmedSequence = message.confirmedSequence;
     for (const UnconfirmedStart &start : message.unconfirmedStarts)
         m_commander.mergeUnconfirmedStart(m_now, start, *m_actions);
     std::erase_if(peer.inFlight, [&](const InFlight &order) {
@@ -322,6 +323,8 @@
     report.coordinates = m_commands && m_serversKnown;
     report.stopping = m_drainingSince != never;
     report.lastSequence = peer.lastHandled;
+    const std::uint64_t unconfirmed = m_commander.firstUnconfirmed(node);
+    report.confirmedSequence = unconfirmed == 0 ? peer.lastHandled : std::min(peer.lastHandled, unconfirmed - 1);
     report.hasRecentContact = !peer.lost && m_now - peer.lastContactAt <= recentContactUs;
     report.lossCount = peer.lossCount;
     report.configurationVersion = m_routes.configuration().version;
--- a/packages/command/fleet_placing.cpp
+++ b/packages/command/fleet_placing.cpp
@@ -23,6 +23,9 @@
 // While orders wait longer at a slow link, no further job is started: jobs that wait here start in the order of their
 // urgency, orders at the link do not.
 constexpr TimeUs maxJobWaitUs = 20 * usPerMs;
+// A start without an answer is settled once its backend server answers or has another commander, which takes less than
+// this unless the backend server is away. The answer to a job that comes too early costs little.
+constexpr TimeUs unconfirmedRetryAfterUs = 2 * usPerS;
 constexpr RunNumber oldRunStep = 16; // skips run numbers that an earlier submission may have used
 
 } // namespace
@@ -208,7 +211,7 @@
     m_orders.clear();
 }
 
-void FleetDispatcher::sendOrder(const Job &job, const std::string &node, const Resources &taskResources,
+void FleetDispatcher::sendOrder(Job &job, const std::string &node, const Resources &taskResources,
                                 std::vector<PlaceTasks::Item> &&items)
 {
     PlaceTasks order;
@@ -235,6 +238,7 @@
     for (const PlaceTasks::Item &item : order.items) {
         peer.inFlight.push_back({order.sequence, item.server, taskResources});
         peer.capacities[item.server].reserved += taskResources;
+        job.tasks[item.index].sequence = order.sequence;
     }
     m_counters.remoteStarts += order.items.size();
     m_actions->push_back(SendPeer{node, std::move(order)});
@@ -276,9 +280,10 @@
     for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
         const Task &task = job.tasks[index];
         if (task.state == TaskState::Placed)
-            m_endingRuns[{job.id, index}] = {task.node, task.server, task.run, m_now + stoppedRunLimitUs};
+            m_endingRuns[{job.id, index}] = {task.node, task.server, task.run, m_now + stoppedRunLimitUs,
+                                             task.sequence};
         else if (task.state == TaskState::Blocked)
-            m_endingRuns[{job.id, index}] = {task.node, task.server, task.run, task.retryAt};
+            m_endingRuns[{job.id, index}] = {task.node, task.server, task.run, task.retryAt, task.sequence};
     }
 }
 
@@ -294,6 +299,7 @@
         task.server = found->second.server;
         task.run = found->second.run;
         task.retryAt = found->second.endsBy;
+        task.sequence = found->second.sequence;
         --job.waiting;
         job.mayHaveRun = true;
         m_endingRuns.erase(found);
@@ -309,12 +315,12 @@
             continue;
         const TimeUs endsBy = m_now + start.remainingUs;
         if (endsBy + job.workUs > job.lastUsefulAt) {
-            giveUpJob(job, unconfirmedStart, start.remainingUs);
+            giveUpJob(job, unconfirmedStart, std::min(start.remainingUs, unconfirmedRetryAfterUs));
             return false;
         }
         const auto found = m_endingRuns.find(start.task);
         if (found == m_endingRuns.end() || found->second.endsBy < endsBy)
-            m_endingRuns[start.task] = {std::string(selfNode), start.server, start.run, endsBy};
+            m_endingRuns[start.task] = {std::string(selfNode), start.server, start.run, endsBy, 0};
     }
     return true;
 }
@@ -345,7 +351,7 @@
             task.retryAt = std::min(task.retryAt, endsBy);
         // The end of the run that the task is waiting for is reported to its coordinator by itself.
         if (start.fate == StartFate::Unknown && task.state != TaskState::Done && !isSameRun)
-            giveUpJob(found->second, unconfirmedStart, start.remainingUs);
+            giveUpJob(found->second, unconfirmedStart, std::min(start.remainingUs, unconfirmedRetryAfterUs));
     }
 }
 
@@ -436,7 +442,8 @@
     task.losses += ended.end == RunEnd::Lost && !isPeerLost ? 1 : 0;
     if (task.losses >= maxLosses || m_now + ended.maxRemainingUs + job.workUs > job.lastUsefulAt) {
         const bool isLost = ended.end == RunEnd::Lost;
-        giveUpJob(job, isLost ? "run_lost" : "too_late_to_repeat", isLost ? ended.maxRemainingUs : 0);
+        giveUpJob(job, isLost ? "run_lost" : "too_late_to_repeat",
+                  isLost ? std::min(ended.maxRemainingUs, unconfirmedRetryAfterUs) : 0);
     } else if (ended.maxRemainingUs > 0) {
         task.state = TaskState::Blocked;
         task.retryAt = m_now + ended.maxRemainingUs;
@@ -545,20 +552,31 @@
                    " heard_ms_ago=", (m_now - peer.lastContactAt) / usPerMs,
                    " hears_us_ms_ago=", (m_now - peer.contactConfirmedAt) / usPerMs));
     m_commander.stopCoordinator(m_now, node, *m_actions);
+    // The peer has not reported that these runs exist. Their starts may be unanswered on backend servers that have
+    // restarted, and nobody stops them until another commander is there.
+    const auto mayBegin = [&](std::uint64_t sequence) { return sequence > peer.confirmedSequence; };
     std::vector<TaskEnded> lost;
     for (const auto &[id, job] : m_jobs) {
         for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
             const Task &task = job.tasks[index];
             if (task.state == TaskState::Placed && task.node == node)
-                lost.push_back({{id, index}, task.run, RunEnd::Lost, lostPeerRunLimitUs, task.server});
+                lost.push_back({{id, index},
+                                task.run,
+                                RunEnd::Lost,
+                                mayBegin(task.sequence) ? lateStartLimitUs : lostPeerRunLimitUs,
+                                task.server});
         }
     }
     for (const auto &[task, run] : m_endingRuns) {
         if (run.node == node)
-            lost.push_back({task, run.run, RunEnd::Lost, lostPeerRunLimitUs, run.server});
+            lost.push_back({task, run.run, RunEnd::Lost, mayBegin(run.sequence) ? lateStartLimitUs : lostPeerRunLimitUs,
+                            run.server});
     }
-    for (const TaskEnded &end : lost)
+    for (const TaskEnded &end : lost) {
+        if (end.maxRemainingUs == lateStartLimitUs)
+            m_commander.addUnconfirmedStart(m_now, end.task, end.server, end.run);
         onTaskEnded(node, end, true);
+    }
 }
 
 } // namespace clementinelift::command
--- a/packages/command/job.h
+++ b/packages/command/job.h
@@ -27,15 +27,16 @@
     TaskState state = TaskState::Waiting;
     RunNumber run = 0; // of the last order
     std::uint32_t failures = 0;
-    std::uint32_t losses = 0;  // runs lost with their backend server
-    std::uint32_t crashes = 0; // also suspected ones; with any, the task needs a backend server of its own
-    bool stopping = false;     // Placed: overdue, a stop of the run was requested
-    std::string server;        // Placed
-    std::string node;          // Placed: commander, empty: this entry VM
-    double speed = 1.0;        // Placed: of its backend server
-    TimeUs placedAt = 0;       // Placed
-    TimeUs startUs = 0;        // Placed: expected time from placing to its start on the backend server
-    TimeUs retryAt = 0;        // Blocked
+    std::uint32_t losses = 0;   // runs lost with their backend server
+    std::uint32_t crashes = 0;  // also suspected ones; with any, the task needs a backend server of its own
+    bool stopping = false;      // Placed: overdue, a stop of the run was requested
+    std::string server;         // Placed
+    std::string node;           // Placed: commander, empty: this entry VM
+    std::uint64_t sequence = 0; // Placed: of the PlaceTasks to the commander
+    double speed = 1.0;         // Placed: of its backend server
+    TimeUs placedAt = 0;        // Placed
+    TimeUs startUs = 0;         // Placed: expected time from placing to its start on the backend server
+    TimeUs retryAt = 0;         // Blocked
 };
 
 struct Job
--- a/packages/net/fleet_codec.cpp
+++ b/packages/net/fleet_codec.cpp
@@ -63,7 +63,7 @@
     return Json::array({Type::Room, message.sentAt, message.coordinates, message.stopping, message.lastSequence,
                         message.hasRecentContact, message.lossCount, std::move(capacities),
                         message.configurationVersion, message.wantsCapacity, message.startQueueUs, message.perStartUs,
-                        std::move(crashes), std::move(starts)});
+                        std::move(crashes), std::move(starts), message.confirmedSequence});
 }
 
 Json encode(const command::RelayedConfiguration &message)
@@ -277,6 +277,7 @@
             message.unconfirmedStarts.push_back(std::move(start));
         }
     }
+    message.confirmedSequence = fields.hasMore() ? fields.number<std::uint64_t>() : message.lastSequence;
     return fields.isValid();
 }
 
--- a/tests/unit/command/late_start_test.cpp
+++ b/tests/unit/command/late_start_test.cpp
@@ -10,33 +10,43 @@
 
 constexpr TimeUs cutUs = 5 * usPerS;
 
-// Two entry VMs and two backend servers with two places each. A backend server restarts silently while a hold counts as
+// Entry VMs and as many backend servers with two places each. A backend server restarts silently while a hold counts as
 // open there, and receives the start of the job "late" before it is cut off.
 struct LateStart
 {
-    FleetWorld world{{.zones = {{"a", 2, 2}}, .lateOrdersArrive = true}};
+    FleetWorld world;
     WorldJob late{.id = makeJobId(2), .workUs = 900 * usPerMs, .budgetUs = 1500 * usPerMs};
-    int silent = -1; // the restarted backend server
+    int silent = -1;   // the restarted backend server
+    int commander = 0; // its entry VM
     CallerId first{};
 
-    explicit LateStart(TimeUs darkUs, TimeUs lateUs)
+    // Without a cut, the job is submitted to an entry VM that does not command the backend server.
+    explicit LateStart(TimeUs darkUs, TimeUs lateUs, int size = 2, bool isCut = true)
+        : world({.zones = {{"a", size, size}}, .lateOrdersArrive = true})
     {
         world.start();
         world.runFor(20 * usPerS); // the clocks of restarted backend servers are far behind
-        const CallerId filler = world.submit(0, {.id = makeJobId(1), .tasks = 3, .workUs = 1200 * usPerMs});
+        const auto places = static_cast<std::uint32_t>(2 * size);
+        const CallerId filler = world.submit(0, {.id = makeJobId(1), .tasks = places - 1, .workUs = 1200 * usPerMs});
         world.runFor(100 * usPerMs);
         REQUIRE(world.answer(filler) == nullptr);
-        REQUIRE(world.runCount() == 3);
-        silent = world.server(0).runs.size() == 1 ? 0 : 1;
+        REQUIRE(world.runCount() == places - 1);
+        for (int server = 0; server < size; ++server)
+            silent = world.server(server).runs.size() == 1 ? server : silent;
+        for (int node = 0; node < size; ++node)
+            commander = world.core(node).commander().isCommanded(world.server(silent).entry.id) ? node : commander;
         world.crash(silent);
         world.runFor(darkUs);
         world.reboot(silent, 400 * usPerMs);
         world.setLostAnswers(1, lateUs);
-        first = world.submit(0, late);
-        world.runFor(usPerMs);
+        first = world.submit(isCut ? 0 : other(1), late);
+        world.runFor((isCut ? 1 : 3) * usPerMs);
         world.setLostAnswers(0, 0);
-        cut(true);
+        if (isCut)
+            cut(true);
     }
+    // Another entry VM than the commander of the backend server.
+    int other(int number) const { return (commander + number) % world.nodeCount(); }
     void cut(bool isCut)
     {
         for (int node = 0; node < world.nodeCount(); ++node)
@@ -132,5 +142,54 @@
     CHECK(join(world.violations()).empty());
 }
 
+// Guards against a second run of a task whose commander is paused: other entry VMs must not count on the lease of a
+// start of which they do not know that it was answered.
+TEST_CASE("a task is not started again while its lost commander may have left the start unanswered")
+{
+    LateStart fixture(200 * usPerMs, 2600 * usPerMs, 3, false);
+    FleetWorld &world = fixture.world;
+    world.freeze(fixture.commander, 4 * usPerS);
+    CHECK(fixture.await(fixture.first).kind == Kind::GivenUp);
+    world.runFor(1300 * usPerMs);
+    CHECK_FALSE(fixture.hasRun());
+    CHECK(fixture.await(world.submit(fixture.other(2), fixture.late)).kind == Kind::GivenUp);
+    world.runFor(3 * usPerS); // the late start is carried out, and the commander resumes
+    CHECK(world.startsOf(fixture.late.id) == 1);
+    CHECK(fixture.await(world.submit(fixture.other(2), fixture.late)).kind == Kind::Completed);
+    CHECK(join(world.violations()).empty());
+}
+
+// Guards against tasks that wait for seconds after the loss of an entry VM: the next commander settles their starts.
+TEST_CASE("the start that a lost commander may have left unanswered is settled by the next one")
+{
+    LateStart fixture(200 * usPerMs, 5 * usPerS, 3, false);
+    FleetWorld &world = fixture.world;
+    world.kill(fixture.commander);
+    CHECK(fixture.await(fixture.first).kind == Kind::GivenUp);
+    CHECK(fixture.await(world.submit(fixture.other(2), fixture.late)).kind == Kind::GivenUp);
+    world.runFor(2 * usPerS);
+    CHECK(fixture.await(world.submit(fixture.other(2), fixture.late)).kind == Kind::Completed);
+    world.runFor(4 * usPerS);
+    CHECK(world.startsOf(fixture.late.id) == 1);
+    CHECK(join(world.violations()).empty());
+}
+
+// Guards against jobs that are given up for a run which their lost commander has reported as accepted: its lease ends
+// it.
+TEST_CASE("a task whose start was answered is started again when its lost commander's lease has ended")
+{
+    FleetWorld world({.zones = {{"a", 2, 2}}});
+    world.start();
+    const int commander = world.core(0).commander().isCommanded("s-0") ? 0 : 1;
+    const WorldJob job{.id = makeJobId(1), .tasks = 4, .workUs = 900 * usPerMs, .budgetUs = 6 * usPerS};
+    const CallerId caller = world.submit(1 - commander, job);
+    world.runFor(300 * usPerMs); // two heartbeats
+    world.powerOff(commander);
+    world.runFor(5500 * usPerMs);
+    REQUIRE(world.answer(caller) != nullptr);
+    CHECK(world.answer(caller)->kind == Kind::Completed);
+    CHECK(join(world.violations()).empty());
+}
+
 } // namespace
 } // namespace clementinelift::command
