--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -27,6 +27,7 @@
 // One request in progress; owned by its easy handle until the request ends.
 struct Transfer
 {
+    HttpRequestId id{};
     HttpClientRequest request;
     HttpClient::Done done;
     HttpResult result;
@@ -101,6 +102,8 @@
     std::mutex mutex;
     std::vector<std::unique_ptr<Transfer>> incoming;
     std::vector<std::function<void()>> posted;
+    std::vector<HttpRequestId> cancelled;
+    std::uint64_t lastId = 0;
     long newMaxHostConnections = 0; // 0: no change
     bool stopping = false;
 
@@ -115,6 +118,7 @@
     void begin(std::unique_ptr<Transfer> transfer);
     void end(CURL *handle, CURLcode code);
     void endFinished();
+    void endCancelled(HttpRequestId id);
     void endAll();
     int waitTimeMs() const;
 
@@ -191,12 +195,14 @@
 {
     std::vector<std::unique_ptr<Transfer>> taken;
     std::vector<std::function<void()>> tasks;
+    std::vector<HttpRequestId> ended;
     bool keepRunning = true;
     long connections = 0;
     {
         const std::lock_guard lock(mutex);
         taken.swap(incoming);
         tasks.swap(posted);
+        ended.swap(cancelled);
         keepRunning = !stopping;
         connections = std::exchange(newMaxHostConnections, 0);
     }
@@ -211,6 +217,8 @@
         else
             begin(std::move(transfer));
     }
+    for (const HttpRequestId id : ended)
+        endCancelled(id);
     return keepRunning;
 }
 
@@ -255,7 +263,9 @@
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, self.headerList);
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(std::max<std::int64_t>(request.timeoutMs, 1)));
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(settings.connectTimeoutMs));
-    curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, static_cast<long>(settings.maxConnectionAgeS));
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, request.newConnection ? 1L : 0L);
+    curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN,
+                     static_cast<long>(request.maxIdleS > 0 ? request.maxIdleS : settings.maxConnectionAgeS));
     curl_easy_setopt(handle, CURLOPT_ERRORBUFFER, self.error.data());
     curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, onSend);
     curl_easy_setopt(handle, CURLOPT_PREREQDATA, &self);
@@ -317,6 +327,24 @@
     }
 }
 
+void HttpClient::State::endCancelled(HttpRequestId id)
+{
+    for (auto it = delayed.begin(); it != delayed.end(); ++it) {
+        if (it->second->id == id) {
+            begin(std::move(delayed.extract(it).mapped()));
+            break;
+        }
+    }
+    for (CURL *handle : active) {
+        Transfer *transfer = nullptr;
+        curl_easy_getinfo(handle, CURLINFO_PRIVATE, &transfer);
+        if (transfer->id == id) {
+            end(handle, CURLE_ABORTED_BY_CALLBACK);
+            return;
+        }
+    }
+}
+
 void HttpClient::State::endAll()
 {
     while (!delayed.empty())
@@ -358,19 +386,32 @@
     close(m_state->wakeup);
 }
 
-void HttpClient::send(HttpClientRequest &&request, Done &&done)
+HttpRequestId HttpClient::send(HttpClientRequest &&request, Done &&done)
 {
     auto transfer = std::make_unique<Transfer>();
     transfer->request = std::move(request);
     transfer->done = std::move(done);
+    HttpRequestId id{};
     {
         const std::lock_guard lock(m_state->mutex);
         if (m_state->stopping)
-            return;
+            return id;
+        id = HttpRequestId{++m_state->lastId};
+        transfer->id = id;
         m_state->incoming.push_back(std::move(transfer));
         ++m_state->open;
     }
     eventfd_write(m_state->wakeup, 1);
+    return id;
+}
+
+void HttpClient::cancel(HttpRequestId request)
+{
+    {
+        const std::lock_guard lock(m_state->mutex);
+        m_state->cancelled.push_back(request);
+    }
+    eventfd_write(m_state->wakeup, 1);
 }
 
 void HttpClient::post(std::function<void()> &&task)
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -34,8 +34,12 @@
     std::int64_t timeoutMs = 5000; // includes the wait for a connection
     std::int64_t delayMs = 0;      // delay before sending; timeoutMs starts after the delay
     bool repeatable = false;       // may be sent again when a reused connection turns out to be closed
+    bool newConnection = false;    // sent on a connection that was not used before
+    std::int64_t maxIdleS = 0;     // a connection that was idle for longer is not reused; 0: maxConnectionAgeS
 };
 
+enum class HttpRequestId : std::uint64_t {}; // of one request of a client; 0 is no request
+
 enum class HttpOutcome : std::uint8_t {
     Answered, // status, headers and body are complete
     NotSent,  // certain that no byte of the request was sent
@@ -65,7 +69,11 @@
     ~HttpClient(); // calls stop()
 
     // Thread-safe. done is called exactly once, never from inside send().
-    void send(HttpClientRequest &&request, Done &&done);
+    HttpRequestId send(HttpClientRequest &&request, Done &&done);
+
+    // Thread-safe. Ends the request with NotSent or Unknown, never from inside cancel(); does nothing when it has
+    // ended.
+    void cancel(HttpRequestId request);
 
     // Thread-safe. Calls task on the thread of this client, which also calls done.
     void post(std::function<void()> &&task);
--- a/tests/unit/net/http_test.cpp
+++ b/tests/unit/net/http_test.cpp
@@ -228,6 +228,62 @@
     }
 }
 
+// Guards against a request that is meant to find out whether new connections work and waits on a dead one.
+TEST_CASE("a request uses no kept connection that it must not use")
+{
+    ClosingServer server;
+    server.run(3);
+    HttpClient client({});
+    const std::string url = makeUrl(server.port, "/");
+    REQUIRE(exchange(client, {.url = url}).status == 200);
+    SECTION("a new one")
+    {
+        // The server accepts it only once the first one is closed.
+        CHECK(exchange(client, {.url = url, .timeoutMs = 200, .newConnection = true}).outcome == HttpOutcome::Unknown);
+        CHECK(server.requests == 1);
+    }
+    SECTION("one that was idle for too long")
+    {
+        CHECK(exchange(client, {.url = url, .maxIdleS = 1}).status == 200);
+        CHECK(server.connections == 1);
+        std::this_thread::sleep_for(std::chrono::milliseconds(2100));
+        CHECK(exchange(client, {.url = url, .maxIdleS = 1}).status == 200);
+        CHECK(server.connections == 2);
+    }
+}
+
+// Guards against a request without an end, and against a second end, when it is cancelled.
+TEST_CASE("a cancelled request ends once, and others go on")
+{
+    auto server = HttpServer::start({}, [](HttpCall, HttpRequest &&) {});
+    REQUIRE(server);
+    HttpClient client({});
+    const std::string url = makeUrl((*server)->port(), "/");
+    std::atomic<int> ends = 0;
+    std::promise<HttpOutcome> sent;
+    std::promise<HttpOutcome> delayed;
+    std::promise<HttpOutcome> kept;
+    const HttpRequestId first = client.send({.url = url, .timeoutMs = 1000}, [&](HttpResult &&result) {
+        ++ends;
+        sent.set_value(result.outcome);
+    });
+    const HttpRequestId second = client.send({.url = url, .delayMs = 60000},
+                                             [&](HttpResult &&result) { delayed.set_value(result.outcome); });
+    client.send({.url = url, .timeoutMs = 600}, [&](HttpResult &&result) { kept.set_value(result.outcome); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    client.cancel(first);
+    client.cancel(first);
+    client.cancel(second);
+    client.cancel(HttpRequestId{});
+    CHECK(sent.get_future().get() == HttpOutcome::Unknown);
+    CHECK(delayed.get_future().get() == HttpOutcome::NotSent);
+    CHECK(kept.get_future().get() == HttpOutcome::Unknown);
+    CHECK(ends == 1);
+    client.cancel(first);
+    client.stop();
+    CHECK(ends == 1);
+}
+
 // Guards against requests that wait for a connection and are reported as unknown although nothing was sent.
 TEST_CASE("a request that waited for a free connection was not sent")
 {
--- a/tests/unit/net/servers.h
+++ b/tests/unit/net/servers.h
@@ -73,6 +73,7 @@
 
     std::uint16_t port = 0;
     std::atomic<int> requests = 0;
+    std::atomic<int> connections = 0;
 
 private:
     void serve(int answers)
@@ -81,6 +82,7 @@
             const int connection = accept4(m_socket, nullptr, nullptr, SOCK_CLOEXEC);
             if (connection < 0)
                 return;
+            ++connections;
             char buffer[4096];
             while (recv(connection, buffer, sizeof buffer, 0) > 0) {
                 ++requests;
