Log unconfirmed starts where they matter, and settle none by an order that was not sent

Every entry VM logged each start that a peer reported, two lines for hundreds of starts after a large crash. Now the commander of the backend server logs it, an entry VM whose jobs or ending runs it concerns, and the one that gives up a job for it.

A start that is dropped before it is sent settled an unconfirmed start of the same run number; found by reading, not seen in a run.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -518,7 +518,9 @@
     if (run.acceptedAt == never)
         forgetUnconfirmed(run);
     Server &server = m_servers[run.server];
-    if (maxRemainingUs == 0) // a coordinator that has lost this entry VM may wait for it
+    // A coordinator that has lost this entry VM may wait for the run. That no order was sent says nothing about one
+    // that another entry VM may have sent under the same number.
+    if (maxRemainingUs == 0 && end != RunEnd::NotAsked)
         m_unconfirmedStarts.settle(now, task, server.entry.id, run.number, StartFate::Settled, now);
     server.used -= run.resources;
     std::erase(server.runs, task);
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -261,6 +261,7 @@
     void deliverRunEnds();
     void onCrash(const TaskId &task, std::string_view server, CrashNotice notice);
     void setCrashes(const CrashCount &counts);
+    void logUnconfirmedStart(const UnconfirmedStart &start);
     void applyUnconfirmedStarts();
     bool blockUnconfirmedTasks(Job &job);
     void refuseHopelessJobs();
--- a/packages/command/fleet_placing.cpp
+++ b/packages/command/fleet_placing.cpp
@@ -314,6 +314,7 @@
         if (start.task.index >= job.tasks.size())
             continue;
         const TimeUs endsBy = m_now + start.remainingUs;
+        logUnconfirmedStart(start);
         if (endsBy + job.workUs > job.lastUsefulAt) {
             giveUpJob(job, unconfirmedStart, std::min(start.remainingUs, unconfirmedRetryAfterUs));
             return false;
@@ -325,6 +326,14 @@
     return true;
 }
 
+void FleetDispatcher::logUnconfirmedStart(const UnconfirmedStart &start)
+{
+    logLine(start.fate == StartFate::Unknown, "jobs",
+            concat("start without an answer job=", start.task.job, " task=", start.task.index, " run=", start.run,
+                   " server=", start.server, " fate=", toString(start.fate),
+                   " dead_after_ms=", start.remainingUs / usPerMs));
+}
+
 // Applies changes of the unconfirmed starts to the jobs here. A job whose task may also be carried out elsewhere is
 // given up, and tasks that wait for a start that has been settled wait no longer than for its end.
 void FleetDispatcher::applyUnconfirmedStarts()
@@ -333,16 +342,15 @@
     if (starts.version() == m_appliedStarts)
         return;
     for (const UnconfirmedStart &start : starts.changedSince(m_now, std::exchange(m_appliedStarts, starts.version()))) {
-        logLine(start.fate == StartFate::Unknown, "jobs",
-                concat("start without an answer job=", start.task.job, " task=", start.task.index, " run=", start.run,
-                       " server=", start.server, " fate=", toString(start.fate),
-                       " dead_after_ms=", start.remainingUs / usPerMs));
         const TimeUs endsBy = m_now + start.remainingUs;
         const auto ending = m_endingRuns.find(start.task);
         if (ending != m_endingRuns.end() && ending->second.server == start.server && ending->second.run == start.run)
             ending->second.endsBy = start.fate == StartFate::Unknown ? std::max(ending->second.endsBy, endsBy)
                                                                      : std::min(ending->second.endsBy, endsBy);
         const auto found = m_jobs.find(start.task.job);
+        // The others hear of it for the case that the job is submitted to them; hundreds may come at once.
+        if (m_commander.isCommanded(start.server) || ending != m_endingRuns.end() || found != m_jobs.end())
+            logUnconfirmedStart(start);
         if (found == m_jobs.end() || start.task.index >= found->second.tasks.size())
             continue;
         Task &task = found->second.tasks[start.task.index];
