--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -90,8 +90,8 @@
     std::uint64_t firstUnconfirmed(std::string_view coordinator) const;
     // A peer that may have sent the start is lost: the run may begin until the backend server is heard.
     void addUnconfirmedStart(TimeUs now, const TaskId &task, std::string_view server, RunNumber run);
-    // Applies the report of a peer about a start on any backend server; true when it says more than was known.
-    bool mergeUnconfirmedStart(TimeUs now, const UnconfirmedStart &reported, std::vector<Action> &actions);
+    // Applies the report of a peer about a start on any backend server.
+    void mergeUnconfirmedStart(TimeUs now, const UnconfirmedStart &reported, std::vector<Action> &actions);
     void expireUnconfirmedStarts(TimeUs now) { m_unconfirmedStarts.expire(now); }
     const UnconfirmedStarts &unconfirmedStarts() const { return m_unconfirmedStarts; }
 
--- a/packages/command/commander_answers.cpp
+++ b/packages/command/commander_answers.cpp
@@ -85,23 +85,6 @@
     ++m_capacityVersion;
 }
 
-// Reports one run without an answer to its start as lost, on a backend server that has rejected the fencing token.
-void Commander::loseUnconfirmed(TimeUs now, const Server &server, const TaskId &task, const Run &run,
-                                std::vector<RunEndNotice> &ended)
-{
-    StartFate fate = startFate(server, run);
-    TimeUs endsBy = server.leasesEndBy;
-    if (fate == StartFate::Unknown && server.fencedSentAt >= undeliverableFrom(run)) {
-        fate = StartFate::Bounded;
-        endsBy = now + leaseBound(m_settings.maxLeaseUs); // another incarnation may have begun the run just before
-    } else if (fate == StartFate::Unknown) {
-        endsBy = now + lateStartLimitUs;
-    }
-    if (fate != StartFate::Settled)
-        m_unconfirmedStarts.add(now, task, server.entry.id, run.number, fate, endsBy);
-    endRun(now, task, RunEnd::Lost, std::max<TimeUs>(endsBy - now, 0), ended);
-}
-
 // Another incarnation answers at this address; the runs of the earlier incarnation have ended.
 void Commander::onOtherInstance(TimeUs now, Server &server, std::vector<Action> &actions,
                                 std::vector<RunEndNotice> &ended)
@@ -237,18 +220,6 @@
     onMissingAnswer(now, server, false, actions, ended);
 }
 
-// The result of a start whose run has been given up in the meantime.
-void Commander::onLateStartResult(TimeUs now, const StartResult &event)
-{
-    if (event.outcome == OrderOutcome::Unknown)
-        return;
-    if (event.outcome == OrderOutcome::Accepted)
-        m_unconfirmedStarts.settle(now, event.task, event.server, event.run, StartFate::Bounded,
-                                   now + leaseBound(m_settings.maxLeaseUs));
-    else
-        m_unconfirmedStarts.settle(now, event.task, event.server, event.run, StartFate::Settled, now);
-}
-
 void Commander::onStopResult(TimeUs now, const StopResult &event, std::vector<Action> &actions)
 {
     const auto foundServer = m_indexes.find(event.server);
