Refuse a job while the registry may be incomplete instead of failing it

Cause: the entries of backend servers expire during an outage and return within 2 s. A process that is started meanwhile reads an empty registry, and an empty registry was taken for "larger than every backend server".

Now such a job is refused (503, Retry-After 2 s) while no backend server of its service is listed, while the store does not answer, and for 2 s after it has answered again. It has not run, so the refusal is true. The new test fails on the state before with "failed" at once.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -659,6 +659,12 @@
     });
 }
 
+bool Commander::hasServers(std::string_view service) const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(),
+                       [&](const Server &server) { return server.listed && server.entry.service == service; });
+}
+
 bool Commander::isCommanded(std::string_view server) const
 {
     const auto found = m_indexes.find(server);
--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -116,6 +116,7 @@
     // as the largest one that its incarnation has reported.
     bool fitsSomewhere(const Resources &taskResources, std::string_view service) const;
     bool hasFittedSomewhere(const Resources &taskResources, std::string_view service) const;
+    bool hasServers(std::string_view service) const;
     const StartDelay &startDelay() const { return m_startDelay; }
     std::uint64_t capacityVersion() const { return m_capacityVersion; } // increases when capacities() may have changed
 
--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -382,6 +382,13 @@
     return {};
 }
 
+// Entries of backend servers that expire during an outage of the store return only some time after it. A process that
+// has been started meanwhile reads a registry without them.
+bool FleetDispatcher::isRegistryIncomplete(std::string_view service) const
+{
+    return m_storeUnavailable || m_now - m_storeAvailableSince < lapsedGraceUs || !m_commander.hasServers(service);
+}
+
 void FleetDispatcher::submit(CallerRequest &request, const Route &route, std::string_view id)
 {
     if (!isJobId(id) || !request.job || request.job->steps.empty() || request.job->steps.front().count == 0) {
@@ -435,6 +442,11 @@
         refuseJob(kept, reason, 0);
         return;
     }
+    if (m_serversKnown && !m_commander.hasFittedSomewhere(kept.taskResources, kept.service)
+        && isRegistryIncomplete(kept.service)) {
+        refuseJob(kept, "registry_incomplete", lapsedGraceUs);
+        return;
+    }
     if (m_serversKnown && !m_commander.hasFittedSomewhere(kept.taskResources, kept.service)) {
         failJob(kept, "larger_than_every_backend_server");
         return;
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -228,6 +228,7 @@
     void rememberGoneCaller(CallerId caller);
     void submit(CallerRequest &request, const Route &route, std::string_view id);
     void send(AnswerCaller &&answer);
+    bool isRegistryIncomplete(std::string_view service) const;
     std::string_view findUnservable(const JobRequest &request, const Route &route) const;
     void answer(CallerId caller, AnswerKind kind, std::string_view reason = {}, TimeUs retryAfterUs = 0);
     void completeJob(Job &job);
--- a/tests/unit/command/fleet_dispatcher_test.cpp
+++ b/tests/unit/command/fleet_dispatcher_test.cpp
@@ -532,5 +532,32 @@
     CHECK(world.violations().empty());
 }
 
+// Guards against jobs that are answered as failed for good by a process that was started during an outage of the store:
+// it reads a registry without the entries that have expired.
+TEST_CASE("a job is refused, not failed, while the registry has no backend server of its service")
+{
+    FleetWorld world({.zones = {{"a", 1, 2}}});
+    for (int server = 0; server < world.serverCount(); ++server)
+        world.server(server).listed = false;
+    world.start();
+    const CallerId early = world.submit(0, {.id = makeJobId(1)});
+    world.runFor(50 * usPerMs);
+    REQUIRE(world.answer(early) != nullptr);
+    CHECK(world.answer(early)->kind == AnswerKind::Refused);
+    CHECK(world.answer(early)->retryAfterUs == 2 * usPerS);
+    for (int server = 0; server < world.serverCount(); ++server) {
+        world.server(server).listed = true;
+        world.deliver(0, ServerListed{world.server(server).entry});
+    }
+    world.runFor(50 * usPerMs);
+    const CallerId large = world.submit(0, {.id = makeJobId(2), .milliCores = 64000});
+    const CallerId sound = world.submit(0, {.id = makeJobId(3)});
+    world.runFor(200 * usPerMs);
+    REQUIRE(world.answer(large) != nullptr);
+    CHECK(world.answer(large)->kind == AnswerKind::Failed);
+    REQUIRE(world.answer(sound) != nullptr);
+    CHECK(world.answer(sound)->kind == AnswerKind::Completed);
+}
+
 } // namespace
 } // namespace clementinelift::command
