Keep the platform's formats of hostile crowds and fuzz seeds in platform/

Test scripts outside platform/ wrote requests and settings in the platform's own format. The crowds of the platform's ports and the seeds of its decoders are now in platform/; tests/hostile keeps the crowds and bounds that are the same for both interfaces.

--- a/tests/hostile/crowd.sh
+++ b/tests/hostile/crowd.sh
@@ -1,5 +1,5 @@
-# Crowds of hostile connections against one process, and the bounds that the process must keep; sourced by the tests in
-# this directory after tests/process/cluster.sh.
+# Crowds of hostile connections against one process, and the bounds that the process must keep; sourced by the
+# tests after tests/process/cluster.sh.
 # shellcheck shell=bash
 
 # The smallest machine of a deployment. The bound on descriptors is lower than that of any deployment, so that fewer
--- a/tests/hostile/own_interface.sh
+++ b/tests/hostile/own_interface.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# own_interface.sh PORT CROWD...: like platform.sh, for a process with the project's own settings; PORT is callers or peers.
+# own_interface.sh PORT CROWD...: like platform/standins/hostile_crowds.sh, for a process with the project's own settings; PORT is callers or peers.
 set -euo pipefail
 . "$(dirname "$0")/../process/cluster.sh"
 . "$(dirname "$0")/crowd.sh"
