Test crowds of whole requests that cost more memory than their bytes

Requests that are within all limits can make a process keep far more than was sent: jobs of 10,000 tasks, jobs of many steps, large jobs that are decoded on many threads at a time. The crowds are also sent while a process starts, and to four entry VMs of which two forward their requests. Bounds are those of the other crowds: 120 MB and 1,024 descriptors.

Ids of ordinary jobs differ from those of the crowd, which would otherwise join them.

--- a/tests/hostile/crowd.sh
+++ b/tests/hostile/crowd.sh
@@ -22,6 +22,14 @@
         unread) echo unread 1500 200000 0 ;;
         large_bodies) echo chunked 200 3900000 10000 ;;    # for a limit of 8 MiB
         frames) echo frame 150 4000000 10000 ;;            # 600 MB, each below the limit of a peer link
+        # Whole requests that write_request() of the test describes, each within the limits of one request.
+        wide_jobs) echo requests 300 ;;
+        more_wide_jobs) echo requests 2200 ;;
+        long_specs) echo requests 4000 ;;
+        many_steps) echo requests 800 ;;
+        malformed_jobs | large_payloads) echo requests 300 ;;
+        payload_jobs) echo requests 1000 ;;
+        small_payloads) echo requests 1500 ;;
         long_announced) echo announced 100 30000000 2000000 ;; # 200 MB to the port of the peer links
         *) fail "unknown crowd $1" ;;
     esac
@@ -30,35 +38,90 @@
 open_files() { find "/proc/$1/fd" -mindepth 1 2>/dev/null | wc -l; }
 memory_kb() { sed -n "s/^$2:[^0-9]*\([0-9]*\) kB/\1/p" "/proc/$1/status"; }
 
-# hold_crowd CROWD PORT PROCESS: sends the crowd, checks the bounds of the process while the crowd is in place, then runs
-# ordinary_request, which must succeed while the crowd is still there and once it has gone.
+# write_http_request PATH BODY_FILE HEADER...: writes a request to the file that a crowd sends.
+write_http_request()
+{
+    printf 'POST %s HTTP/1.1\r\nContent-Length: %s\r\n' "$1" "$(stat -c %s "$2")" >"$run_dir/request"
+    printf '%s\r\n' "${@:3}" '' >>"$run_dir/request"
+    cat "$2" >>"$run_dir/request"
+}
+
+# repeat_text COUNT TEXT: prints TEXT COUNT times, separated by commas.
+repeat_text()
+{
+    local i
+    printf '%s' "$2"
+    for ((i = 1; i < $1; i++)); do printf ',%s' "$2"; done
+}
+
+# start_crowd NAME PORT ARGUMENT...: starts a client of the crowd; its output goes to $run_dir/NAME.txt.
+start_crowd()
+{
+    local name=$1 port=$2
+    shift 2
+    "$bin/hostile_client" "$1" "$port" "${@:2}" >"$run_dir/$name.txt" 2>&1 &
+    pids[$name]=$!
+}
+
+# hold_crowd CROWD (PORT PROCESS)...: sends the crowd to each port, checks the bounds of each process while the crowd is in
+# place, then runs ordinary_request, which must succeed while the crowd is still there and once it has gone and sets answer otherwise.
 hold_crowd()
 {
-    local crowd=$1 port=$2 pid=${pids[$3]} most_files=0 files failures=() arguments
+    local crowd=$1 arguments ports=() names=() i name pid files peak_kb failures=() clients=()
+    local -A most_files=()
+    shift
+    while [ $# -gt 0 ]; do
+        ports+=("$1")
+        names+=("$2")
+        shift 2
+    done
     read -ra arguments <<<"$(crowd_of "$crowd")"
-    "$bin/hostile_client" "${arguments[0]}" "$port" "${arguments[@]:1}" >"$run_dir/crowd.txt" 2>&1 &
-    pids[crowd]=$!
+    if [ "${arguments[0]}" = requests ]; then
+        write_request "$crowd"
+        arguments+=("$run_dir/request")
+    fi
+    count_files()
+    {
+        for name in "${names[@]}"; do
+            files=$(open_files "${pids[$name]}")
+            [ "$files" -le "${most_files[$name]:-0}" ] || most_files[$name]=$files
+        done
+    }
+    in_place()
+    {
+        local client
+        for client in "${clients[@]}"; do grep -q "in place" "$run_dir/$client.txt" || return 1; done
+    }
+    for i in "${!ports[@]}"; do
+        clients+=("crowd$i")
+        start_crowd "crowd$i" "${ports[$i]}" "${arguments[@]}"
+    done
     for _ in $(seq 300); do
-        files=$(open_files "$pid")
-        most_files=$((files > most_files ? files : most_files))
-        ! grep -q "in place" "$run_dir/crowd.txt" || break
-        kill -0 "${pids[crowd]}" 2>/dev/null || fail "the crowd ended: $(cat "$run_dir/crowd.txt")"
+        count_files
+        ! in_place || break
+        for i in "${clients[@]}"; do kill -0 "${pids[$i]}" 2>/dev/null || fail "the crowd ended: $(cat "$run_dir/$i.txt")"; done
         sleep 0.1
     done
-    grep -q "in place" "$run_dir/crowd.txt" || fail "the crowd is not in place"
-    ordinary_request || failures+=("no ordinary request is answered beside the crowd")
-    files=$(open_files "$pid")
-    most_files=$((files > most_files ? files : most_files))
-    kill -KILL "${pids[crowd]}"
-    wait "${pids[crowd]}" 2>/dev/null || true
-    unset 'pids[crowd]'
-    kill -0 "$pid" 2>/dev/null || fail "crowd=$crowd: the process has ended: $(tail -n 3 "$run_dir/$3.log")"
-    ordinary_request || failures+=("no ordinary request is answered after the crowd")
-    local peak_kb
-    peak_kb=$(memory_kb "$pid" VmHWM)
-    echo "crowd=$crowd port=$port peak_kb=$peak_kb now_kb=$(memory_kb "$pid" VmRSS) most_files=$most_files" \
-        "$(cat "$run_dir/crowd.txt")"
-    [ "$peak_kb" -lt $((machine_mb * 1024)) ] || failures+=("the memory of the process exceeded $machine_mb MB")
-    [ "$most_files" -le "$machine_fds" ] || failures+=("the process had more than $machine_fds descriptors open")
+    in_place || fail "the crowd is not in place"
+    ordinary_request || failures+=("no ordinary request is answered beside the crowd: ${answer:-}")
+    count_files
+    for i in "${clients[@]}"; do
+        kill -KILL "${pids[$i]}"
+        wait "${pids[$i]}" 2>/dev/null || true
+        unset "pids[$i]"
+    done
+    for name in "${names[@]}"; do
+        kill -0 "${pids[$name]}" 2>/dev/null || fail "crowd=$crowd: $name has ended: $(tail -n 3 "$run_dir/$name.log")"
+    done
+    ordinary_request || failures+=("no ordinary request is answered after the crowd: ${answer:-}")
+    for i in "${!names[@]}"; do
+        name=${names[$i]}
+        pid=${pids[$name]}
+        peak_kb=$(memory_kb "$pid" VmHWM)
+        echo "crowd=$crowd process=$name port=${ports[$i]} peak_kb=$peak_kb now_kb=$(memory_kb "$pid" VmRSS)" \
+            "most_files=${most_files[$name]} $(cat "$run_dir/crowd$i.txt")"
+        [ "$peak_kb" -lt $((machine_mb * 1024)) ] || failures+=("the memory of $name exceeded $machine_mb MB")
+        [ "${most_files[$name]}" -le "$machine_fds" ] || failures+=("$name had more than $machine_fds descriptors open")
+    done
     [ ${#failures[@]} = 0 ] || fail "crowd=$crowd: $(IFS=';'; echo "${failures[*]}")"
 }
--- a/tests/hostile/hostile_client.cpp
+++ b/tests/hostile/hostile_client.cpp
@@ -13,6 +13,9 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <fstream>
+#include <iterator>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,6 +23,7 @@
 namespace {
 
 constexpr char usage[] = R"(usage: hostile_client MODE PORT CONNECTIONS BYTES CHUNK
+       hostile_client requests PORT CONNECTIONS FILE
   chunked    a body of BYTES in chunks of CHUNK bytes that lacks its last byte
   announced  a header that announces BYTES, and CHUNK bytes of the body
   whole      a chunked body of BYTES in chunks of CHUNK bytes, with its end
@@ -27,7 +31,8 @@
   idle       nothing
   unread     BYTES of GET requests for metrics whose answers are never read
   frame      a WebSocket frame of BYTES that lacks its last byte, before any hello
-Prints "in place" when every connection has sent all it sends, is closed, or 20 s have passed. Keeps the connections open
+  requests   the content of FILE, in which ################ is replaced by the number of the connection
+Prints the answers by status and "in place" when every connection has sent all it sends, is closed, or 20 s have passed. Keeps the connections open
 for 60 s after that or until it is killed.
 )";
 
@@ -37,6 +42,7 @@
 constexpr auto trickleInterval = std::chrono::milliseconds(100);
 constexpr std::size_t maxConnections = 4000;
 constexpr std::size_t maxBytesPerTurn = 64u << 10;
+constexpr std::string_view numberPlaceholder = "################"; // for 16 hexadecimal digits
 
 // What each connection sends: the head, then bytes of the repeated pattern up to its end.
 struct Stream
@@ -44,8 +50,9 @@
     std::string head;
     std::string pattern;
     std::size_t patternBytes = 0;
-    bool trickles = false; // one byte in each interval
-    bool reads = true;     // answers are read and discarded
+    bool trickles = false;                  // one byte in each interval
+    bool reads = true;                      // answers are read and discarded
+    std::vector<std::size_t> numberOffsets; // of numberPlaceholder in head
 
     std::size_t size() const { return head.size() + patternBytes; }
 };
@@ -94,13 +101,41 @@
     return stream;
 }
 
+Stream readRequest(const char *file)
+{
+    std::ifstream input(file, std::ios::binary);
+    Stream stream;
+    stream.head.assign(std::istreambuf_iterator<char>(input), {});
+    if (stream.head.empty()) {
+        std::perror(file);
+        std::exit(2);
+    }
+    for (std::size_t at = stream.head.find(numberPlaceholder); at != std::string::npos;
+         at = stream.head.find(numberPlaceholder, at + numberPlaceholder.size()))
+        stream.numberOffsets.push_back(at);
+    return stream;
+}
+
+// Writes the number into part, which begins at the offset of the stream.
+void insertNumber(std::string &part, std::size_t offset, const Stream &stream, std::size_t number)
+{
+    char digits[numberPlaceholder.size() + 1];
+    std::snprintf(digits, sizeof digits, "%016zx", number);
+    for (const std::size_t begin : stream.numberOffsets) {
+        for (std::size_t i = 0; i < numberPlaceholder.size(); ++i) {
+            if (begin + i >= offset && begin + i - offset < part.size())
+                part[begin + i - offset] = digits[i];
+        }
+    }
+}
+
 void closeConnection(Connection &connection)
 {
     close(connection.socket);
     connection.socket = -1;
 }
 
-void sendMore(Connection &connection, const Stream &stream)
+void sendMore(Connection &connection, const Stream &stream, std::size_t number)
 {
     std::size_t budget = stream.trickles && connection.sent >= stream.head.size() ? 1 : maxBytesPerTurn;
     while (budget > 0 && connection.sent < stream.size()) {
@@ -112,7 +147,11 @@
         }
         part.remove_prefix(offset);
         std::string joined; // small patterns are sent many at a time
-        if (part.size() < budget && !stream.trickles) {
+        if (!stream.numberOffsets.empty()) {
+            joined = part.substr(0, budget);
+            insertNumber(joined, offset, stream, number);
+            part = joined;
+        } else if (part.size() < budget && !stream.trickles) {
             joined = part;
             while (joined.size() < budget && !stream.pattern.empty())
                 joined += stream.pattern;
@@ -130,10 +169,16 @@
     }
 }
 
-void discardAnswers(Connection &connection)
+using StatusCounts = std::map<std::string, std::size_t, std::less<>>; // by the three digits
+
+void discardAnswers(Connection &connection, StatusCounts &statuses)
 {
+    constexpr std::string_view version = "HTTP/1.1 ";
     char buffer[16384];
     const ssize_t size = recv(connection.socket, buffer, sizeof buffer, MSG_DONTWAIT);
+    const std::string_view text(buffer, static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+    if (text.starts_with(version))
+        ++statuses[std::string(text.substr(version.size(), 3))];
     if (size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR))
         closeConnection(connection);
 }
@@ -157,13 +202,16 @@
 
 int main(int argc, char **argv)
 {
-    if (argc != 6) {
+    const bool sendsFile = argc == 5 && argv[1] == std::string_view("requests");
+    if (argc != 6 && !sendsFile) {
         std::fputs(usage, stderr);
         return 2;
     }
     const auto count = std::min<std::size_t>(std::strtoul(argv[3], nullptr, 10), maxConnections);
     const auto port = static_cast<std::uint16_t>(std::strtoul(argv[2], nullptr, 10));
-    const Stream stream = makeStream(argv[1], std::strtoul(argv[4], nullptr, 10), std::strtoul(argv[5], nullptr, 10));
+    const Stream stream = sendsFile
+            ? readRequest(argv[4])
+            : makeStream(argv[1], std::strtoul(argv[4], nullptr, 10), std::strtoul(argv[5], nullptr, 10));
     std::vector<Connection> connections(count);
     for (Connection &connection : connections)
         connection.socket = openConnection(port);
@@ -172,6 +220,7 @@
     Clock::time_point end = start + sendTime + holdTime;
     Clock::time_point nextTrickle = start;
     bool inPlace = false;
+    StatusCounts statuses;
     std::vector<pollfd> sockets(count);
     while (Clock::now() < end) {
         const bool mayTrickle = Clock::now() >= nextTrickle;
@@ -193,16 +242,19 @@
         if (!inPlace && (unsent == 0 || Clock::now() >= start + sendTime)) {
             inPlace = true;
             end = Clock::now() + holdTime;
-            std::printf("in place open=%zu closed=%zu unsent=%zu\n", open, count - open, unsent);
+            std::printf("in place open=%zu closed=%zu unsent=%zu", open, count - open, unsent);
+            for (const auto &[status, answers] : statuses)
+                std::printf(" status_%s=%zu", status.c_str(), answers);
+            std::printf("\n");
             std::fflush(stdout);
         }
         poll(sockets.data(), sockets.size(), 20);
         for (std::size_t i = 0; i < count; ++i) {
             if ((sockets[i].revents & POLLIN) != 0)
-                discardAnswers(connections[i]);
+                discardAnswers(connections[i], statuses);
             if (connections[i].socket >= 0 && (sockets[i].revents & POLLOUT) != 0) {
                 connections[i].connected = true;
-                sendMore(connections[i], stream);
+                sendMore(connections[i], stream, i);
             }
             if (connections[i].socket >= 0 && (sockets[i].revents & (POLLERR | POLLHUP)) != 0)
                 closeConnection(connections[i]);
--- a/tests/process/cluster.sh
+++ b/tests/process/cluster.sh
@@ -93,6 +93,7 @@
 zone = ${zone_of[$name]}
 caller_address = ${caller_address[$name]}
 peer_address = ${peer_address[$name]}
+${extra_node_settings:-}
 
 [peers]
 secret = secret-of-a-test-cluster
