Test a crowd of jobs whose tasks need no resources

Such tasks fit every backend server at once, so the orders to start them, each with its specification, are all in progress together.

--- a/tests/hostile/crowd.sh
+++ b/tests/hostile/crowd.sh
@@ -28,6 +28,7 @@
         long_specs) echo requests 4000 ;;
         many_steps) echo requests 800 ;;
         malformed_jobs | large_payloads) echo requests 300 ;;
+        weightless_jobs) echo requests 600 ;;
         payload_jobs) echo requests 1000 ;;
         small_payloads) echo requests 1500 ;;
         long_announced) echo announced 100 30000000 2000000 ;; # 200 MB to the port of the peer links
