Bound the memory of jobs and waiting requests

Callers saw: 300 requests of 322 bytes, each a job of 10,000 tasks, took an entry VM of 120 MB to 442 MB (arm64); in a trial of the users such a process ran out of memory. Cause: the budget of requests ends when a body is whole. What is decoded and kept as a job until its deadline, or waits in a queue, was bounded by nothing. Evidence: peaks grow by 1.4 MB a job.

Jobs and waiting requests now take their bytes from a quarter of the machine's memory (jobMb, job_memory_mb) before they are built. A job takes at most a quarter of what is left, so that wide jobs leave room for small ones; others are refused at once with 503, or with 504 if an earlier submission may have run. Metrics and log lines show the use.

--- a/packages/command/fleet_coordination.cpp
+++ b/packages/command/fleet_coordination.cpp
@@ -19,8 +19,8 @@
 // than a message takes.
 constexpr TimeUs mayBeTooOldUs = 200 * usPerMs;
 constexpr std::string_view requestTooOld = "request_too_old";
-constexpr TimeUs coordinatorWaitUs = 600 * usPerMs;   // a process has its links within 500 ms of its start
-constexpr std::size_t maxQueuedRequests = 500;        // of 16 KB at most each
+constexpr TimeUs coordinatorWaitUs = 600 * usPerMs; // a process has its links within 500 ms of its start
+constexpr std::size_t maxQueuedRequests = 500;
 constexpr std::uint64_t remoteCallerBit = 1ULL << 63; // ids of own callers count up from 1
 
 } // namespace
@@ -176,7 +176,7 @@
 void FleetDispatcher::forwardRequest(CallerRequest &&request, std::string_view job)
 {
     if (m_now < m_noStartsUntil) { // the caller may have disconnected while this process was suspended
-        m_queuedRequests.push_back({std::move(request), m_now});
+        queueRequest(std::move(request), job);
         return;
     }
     std::vector<ZoneMember> coordinators;
@@ -189,7 +189,7 @@
     }
     // Once the process may exit, an answer could not be delivered.
     const bool isStopping = m_drained || m_now >= drainEnd();
-    if (coordinators.empty() && !isStopping && tryQueueRequest(request))
+    if (coordinators.empty() && !isStopping && tryQueueRequest(request, job))
         return;
     if (coordinators.empty() || isStopping) {
         ++m_counters.reasons[isStopping ? "stopping" : "no_coordinator"];
@@ -208,8 +208,11 @@
     const Peer &coordinator = m_peers.at(node);
     ForwardedRequest &forwarded = m_forwarded[sequence] = {request.caller, node, std::string(job),
                                                            request.verb == Verb::Submit, coordinator.reportSentAt};
-    if (m_now - coordinator.lastContactAt > mayBeTooOldUs)
+    const std::size_t bytes = memoryOf(request);
+    if (m_now - coordinator.lastContactAt > mayBeTooOldUs && m_jobMemory.tryTake(bytes)) {
         forwarded.copy = request;
+        forwarded.memoryBytes = bytes;
+    }
     m_forwardedByCaller[request.caller] = sequence;
     ++m_counters.forwardedRequests;
     m_actions->push_back(SendPeer{node, ForwardRequest{sequence, coordinator.reportSentAt, std::move(request)}});
@@ -227,23 +230,39 @@
     CallerRequest copy = *std::move(request.copy);
     const std::string job = std::move(request.job);
     logLine(false, "jobs", concat("request forwarded again job=", job, " coordinator=", node));
-    m_forwardedByCaller.erase(copy.caller);
-    m_forwarded.erase(found);
+    eraseForwarded(found->first);
     forwardRequest(std::move(copy), job);
     return true;
 }
 
 // Queues a request for at most coordinatorWaitUs while a coordinator is likely to be found: after the start of this
 // process and after the loss of the last coordinator.
-bool FleetDispatcher::tryQueueRequest(CallerRequest &request)
+bool FleetDispatcher::tryQueueRequest(CallerRequest &request, std::string_view job)
 {
     const TimeUs since = std::max(m_startedAt, m_coordinatorSeenAt);
     if (m_now - since >= coordinatorWaitUs || m_queuedRequests.size() >= maxQueuedRequests || m_drainingSince != never)
         return false;
-    m_queuedRequests.push_back({std::move(request), m_now});
+    queueRequest(std::move(request), job);
     return true;
 }
 
+void FleetDispatcher::queueRequest(CallerRequest &&request, std::string_view job)
+{
+    const std::size_t bytes = memoryOf(request);
+    if (m_jobMemory.tryTake(bytes))
+        m_queuedRequests.push_back({std::move(request), m_now, bytes});
+    else
+        refuseForMemory(request.caller, job, bytes, usPerS);
+}
+
+void FleetDispatcher::eraseForwarded(std::uint64_t sequence)
+{
+    const auto found = m_forwarded.find(sequence);
+    m_jobMemory.release(found->second.memoryBytes);
+    m_forwardedByCaller.erase(found->second.caller);
+    m_forwarded.erase(found);
+}
+
 void FleetDispatcher::flushQueuedRequests()
 {
     const bool isCoordinatorKnown = m_commands || hasCoordinator();
@@ -254,10 +273,12 @@
     std::vector<QueuedRequest> queued = std::move(m_queuedRequests);
     m_queuedRequests.clear();
     for (QueuedRequest &entry : queued) {
-        if (!isCoordinatorKnown && m_now - entry.since < coordinatorWaitUs)
+        if (!isCoordinatorKnown && m_now - entry.since < coordinatorWaitUs) {
             m_queuedRequests.push_back(std::move(entry));
-        else
-            processRequest(entry.request);
+            continue;
+        }
+        m_jobMemory.release(entry.memoryBytes);
+        processRequest(entry.request);
     }
 }
 
@@ -274,8 +295,7 @@
         logLine(answer.kind != AnswerKind::Completed, "jobs",
                 concat("job answered job=", found->second.job, " coordinator=", node, " answer=", toString(answer.kind),
                        " reason=", answer.reason));
-    m_forwardedByCaller.erase(answer.caller);
-    m_forwarded.erase(found);
+    eraseForwarded(found->first);
     m_actions->push_back(std::move(answer));
 }
 
@@ -292,9 +312,8 @@
         ++m_counters.reasons["coordinator_lost"];
         logLine(true, "jobs",
                 concat("job given up job=", it->second.job, " reason=coordinator_lost coordinator=", node));
-        m_forwardedByCaller.erase(it->second.caller);
         answer(it->second.caller, AnswerKind::GivenUp, "coordinator_lost");
-        it = m_forwarded.erase(it);
+        eraseForwarded((it++)->first);
     }
 }
 
--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -34,6 +34,8 @@
 constexpr TimeUs lapsedGraceUs = 2 * usPerS;        // entries that expired during a store outage return within this
 constexpr std::size_t maxGoneCallers = 2000;        // as many requests as connections may wait in the queue
 constexpr std::size_t idLength = 16;
+// Reason of a request that does not fit the memory for jobs.
+constexpr std::string_view noMemory = "no_memory";
 constexpr double percent = 100;
 
 bool isJobId(std::string_view text)
@@ -45,7 +47,7 @@
 } // namespace
 
 FleetDispatcher::FleetDispatcher(const FleetSettings &settings)
-    : m_settings(settings), m_commander({settings.zone, settings.maxLeaseUs})
+    : m_settings(settings), m_commander({settings.zone, settings.maxLeaseUs}), m_jobMemory(settings.jobBytes)
 {}
 
 void FleetDispatcher::apply(TimeUs now, Event &&event, std::vector<Action> &actions)
@@ -164,8 +166,8 @@
             m_actions->push_back(SendPeer{request.node, ForwardGone{sequence}});
             answer(request.caller, AnswerKind::GivenUp, "stopping");
         }
-        m_forwarded.clear();
-        m_forwardedByCaller.clear();
+        while (!m_forwarded.empty())
+            eraseForwarded(m_forwarded.begin()->first);
     }
     const bool isIdle = m_jobs.empty() && !m_commander.hasRuns() && m_forwarded.empty() && m_queuedRequests.empty();
     if (m_now >= drainEnd() + stopRunsUs || (isIdle && m_now - m_drainingSince >= minDrainUs))
@@ -483,9 +485,6 @@
     job.lastUsefulAt = m_now + budgetUs - answerReserveUs;
     job.budgetUs = request.budgetUs;
     job.dueAt = std::min(m_now + objectiveUs, job.lastUsefulAt);
-    job.tasks.resize(step.count);
-    job.waiting = step.count;
-
     if (m_drained || m_now + job.workUs >= drainEnd()) {
         ++m_counters.refused;
         ++m_counters.reasons["stopping"];
@@ -493,6 +492,13 @@
         answer(request.caller, AnswerKind::Refused, "stopping", notReadyRetryAfterUs);
         return;
     }
+    job.memoryBytes = memoryOfJob(wanted);
+    if (!m_jobMemory.tryTake(job.memoryBytes)) {
+        refuseForMemory(request.caller, id, job.memoryBytes, retryAfter(id, step.count));
+        return;
+    }
+    job.tasks.resize(step.count);
+    job.waiting = step.count;
     Job &kept = m_jobs[std::string(id)] = std::move(job);
     m_callers[request.caller] = kept.id;
     if (const std::string_view reason = findUnservable(wanted, route); !reason.empty()) {
@@ -535,6 +541,27 @@
     m_dispatchNeeded = true;
 }
 
+// Whether a run of an earlier submission may exist or have existed.
+bool FleetDispatcher::mayHaveRun(std::string_view id) const
+{
+    const auto ending = m_endingRuns.lower_bound(TaskId{std::string(id), 0});
+    return (ending != m_endingRuns.end() && ending->first.job == id) || !m_crashes.ofJob(id).empty()
+            || !m_commander.unconfirmedStarts().ofJob(m_now, id).empty();
+}
+
+// An answer that denies runs would be wrong for a job of which an earlier submission may have run.
+void FleetDispatcher::refuseForMemory(CallerId caller, std::string_view id, std::size_t bytes, TimeUs retryAfterUs)
+{
+    const bool isGivenUp = mayHaveRun(id);
+    ++(isGivenUp ? m_counters.givenUp : m_counters.refused);
+    ++m_counters.reasons[noMemory];
+    logLine(true, "jobs",
+            concat(isGivenUp ? "job given up job=" : "job refused job=", id, " reason=", noMemory, " bytes=", bytes,
+                   " used_bytes=", m_jobMemory.usedBytes(), " limit_bytes=", m_jobMemory.limitBytes(),
+                   " jobs=", m_jobs.size()));
+    answer(caller, isGivenUp ? AnswerKind::GivenUp : AnswerKind::Refused, noMemory, retryAfterUs);
+}
+
 // The oldest entry goes first: ids increase in about the order in which requests are handled.
 void FleetDispatcher::rememberGoneCaller(CallerId caller)
 {
@@ -551,12 +578,15 @@
         ++m_counters.callersGone;
         logLine(false, "jobs", concat("caller disconnected job=", request.job, " coordinator=", request.node));
         m_actions->push_back(SendPeer{request.node, ForwardGone{passed->second}});
-        m_forwarded.erase(passed->second);
-        m_forwardedByCaller.erase(passed);
+        eraseForwarded(passed->second);
         return;
     }
-    const std::size_t queuedRequests = std::erase_if(
-            m_queuedRequests, [&](const QueuedRequest &queued) { return queued.request.caller == event.caller; });
+    const std::size_t queuedRequests = std::erase_if(m_queuedRequests, [&](const QueuedRequest &queued) {
+        if (queued.request.caller != event.caller)
+            return false;
+        m_jobMemory.release(queued.memoryBytes);
+        return true;
+    });
     const auto found = m_callers.find(event.caller);
     if (found == m_callers.end()) {
         // Closed connections are found faster than queued requests are handled, above all after a pause.
@@ -654,6 +684,7 @@
     if (job.waitsForBetter)
         endBetterWait(job, m_counters.betterWaitsEndedEarly, "job_ended");
     setInQueue(job, false);
+    m_jobMemory.release(job.memoryBytes);
     m_jobs.erase(m_jobs.find(job.id));
 }
 
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -18,6 +18,7 @@
 #include "command/evacuation.h"
 #include "command/forecast.h"
 #include "command/job.h"
+#include "command/job_memory.h"
 #include "command/placement.h"
 #include "command/retry_after.h"
 #include "command/route_table.h"
@@ -41,6 +42,7 @@
     TimeUs drainUs = 6 * usPerS;        // longest drain
     double farX = 1.0;                  // run time of a task on another rack than its data, as a multiple
     TimeUs maxBetterWaitUs = usPerS;    // longest wait of a job for better backend servers; 0: none
+    std::size_t jobBytes = 384u << 20;  // of all jobs and waiting requests; of a machine of unknown size
 };
 
 // Totals since the start.
@@ -106,6 +108,7 @@
     const Evacuations &evacuations() const { return m_evacuations; }
     std::size_t jobCount() const { return m_jobs.size(); }
     std::size_t waitingCount() const { return m_waiting.size(); }
+    const JobMemory &jobMemory() const { return m_jobMemory; }
     std::size_t peerCount() const;
 
 private:
@@ -183,12 +186,14 @@
         bool submits = false;
         TimeUs echo = 0;                        // as sent
         std::optional<CallerRequest> copy = {}; // kept when the echo is old and the coordinator may reject it
+        std::size_t memoryBytes = 0;            // of copy
     };
     // A request that waits for the end of resumeDelayUs or for a coordinator.
     struct QueuedRequest
     {
         CallerRequest request;
         TimeUs since = 0;
+        std::size_t memoryBytes = 0;
     };
     // A caller of another entry VM.
     struct RemoteCaller
@@ -243,7 +248,9 @@
     bool coordinatesOwnCallers() const;
     void forwardRequest(CallerRequest &&request, std::string_view job);
     bool tryForwardAgain(const std::string &node, const Peer &peer, const ForwardAnswer &message);
-    bool tryQueueRequest(CallerRequest &request);
+    bool tryQueueRequest(CallerRequest &request, std::string_view job);
+    void queueRequest(CallerRequest &&request, std::string_view job);
+    void eraseForwarded(std::uint64_t sequence);
     void dropCallersOf(const std::string &node);
     void flushQueuedRequests();
     void giveUpForwarded(const std::string &node);
@@ -253,6 +260,8 @@
     void rememberGoneCaller(CallerId caller);
     void submit(CallerRequest &request, const Route &route, std::string_view id);
     void send(AnswerCaller &&answer);
+    bool mayHaveRun(std::string_view id) const;
+    void refuseForMemory(CallerId caller, std::string_view id, std::size_t bytes, TimeUs retryAfterUs);
     bool isRegistryIncomplete(std::string_view service) const;
     bool endsAfterDrain(const CallerRequest &request, const Route &route) const;
     std::string_view findUnservable(const JobRequest &request, const Route &route) const;
@@ -270,7 +279,7 @@
     void handOverShards();
     void removeLapsedServers();
     double endsPerS() const;
-    TimeUs retryAfter(const Job &refused);
+    TimeUs retryAfter(std::string_view refused, std::size_t taskCount);
 
     // Placing
     void dispatch();
@@ -345,6 +354,7 @@
     PlaceForecast m_forecast;
     std::size_t m_placedCount = 0; // since the last update of m_forecast
     CrashRecord m_crashes;
+    JobMemory m_jobMemory;
     std::map<std::string, Job, std::less<>> m_jobs;       // ordered, so that equal inputs give equal actions
     absl::flat_hash_map<CallerId, std::string> m_callers; // job of each waiting caller
     std::set<CallerId> m_goneCallers;                     // disconnected before their requests were handled
--- a/packages/command/job.h
+++ b/packages/command/job.h
@@ -3,6 +3,7 @@
 
 #include "command/events.h"
 
+#include <cstddef>
 #include <vector>
 
 namespace clementinelift::command {
@@ -70,6 +71,7 @@
     std::uint32_t placed = 0;       // tasks in state Placed
     bool mayHaveRun = false;        // a run has ended or may exist, so the job must not be refused as "not run"
     TimeUs firstPlacedAt = 0;       // 0: never
+    std::size_t memoryBytes = 0;    // taken from the memory of all jobs
     TimeUs betterUntil = 0;         // latest end of a wait for better backend servers; 0: none was begun
     bool waitsForBetter = false;    // all tasks in state Waiting are in this wait
 
--- a/packages/config/settings.cpp
+++ b/packages/config/settings.cpp
@@ -181,6 +181,7 @@
     reader.readNumber<std::uint32_t>("memory_mb", requests.memoryMb, 0, 1u << 20);
     reader.readNumber<std::uint32_t>("max_fds", requests.maxFds, 0, 1000000);
     reader.readNumber<std::uint32_t>("request_memory_mb", requests.requestMb, 0, 1u << 20);
+    reader.readNumber<std::uint32_t>("job_memory_mb", requests.jobMb, 0, 1u << 20);
     reader.readNumber<std::int64_t>("idle_timeout_ms", requests.idleTimeoutMs, msPerS, msPerHour);
     reader.readNumber<std::uint32_t>("max_discard_bytes", requests.maxDiscardBytes, 0, gib);
     reader.readNumber<std::int64_t>("unread_answer_ms", requests.unreadAnswerMs, 0, msPerHour);
--- a/packages/dispatcher/fleet_daemon.cpp
+++ b/packages/dispatcher/fleet_daemon.cpp
@@ -77,6 +77,14 @@
     return settings;
 }
 
+command::FleetSettings makeFleetSettings(const platform::PlatformSettings &settings)
+{
+    command::FleetSettings fleet{settings.node,       settings.zone,        settings.milliCores,
+                                 settings.maxLeaseUs, settings.stopGraceUs, settings.farX};
+    fleet.jobBytes = jobBytes(settings.requests);
+    return fleet;
+}
+
 } // namespace
 
 struct FleetDaemon::State
@@ -107,8 +115,7 @@
     LimitReporter limitReporter;
 
     explicit State(const platform::PlatformSettings &platformSettings)
-        : settings(platformSettings), core({settings.node, settings.zone, settings.milliCores, settings.maxLeaseUs,
-                                            settings.stopGraceUs, settings.farX}),
+        : settings(platformSettings), core(makeFleetSettings(settings)),
           http({maxBackendConnections, maxIdleConnections, 4u << 20, connectTimeoutMs, 60}),
           orders(http, [this](Event &&event) { queue.push(std::move(event)); })
     {}
--- a/packages/dispatcher/fleet_metrics.cpp
+++ b/packages/dispatcher/fleet_metrics.cpp
@@ -106,6 +106,9 @@
     families.addSample({{"outcome", "deadline"}}, static_cast<double>(counters.betterWaitsExpired));
     families.addSample({{"outcome", "ended_early"}}, static_cast<double>(counters.betterWaitsEndedEarly));
     addGauge(families, "jobs", "Jobs in progress.", core.jobCount());
+    addGauge(families, "job_memory_bytes", "Taken by jobs in progress and waiting requests.",
+             core.jobMemory().usedBytes());
+    addGauge(families, "job_memory_limit_bytes", "Limit of job_memory_bytes.", core.jobMemory().limitBytes());
     addGauge(families, "waiting_jobs", "Jobs with tasks that wait for capacity.", core.waitingCount());
     addGauge(families, "link_us_per_start", "Learned time that an order to start a task takes to leave this entry VM.",
              static_cast<std::size_t>(core.commander().startDelay().perOrderUs()));
--- a/packages/dispatcher/request_limits.cpp
+++ b/packages/dispatcher/request_limits.cpp
@@ -11,7 +11,8 @@
 
 constexpr std::int64_t reportIntervalMs = 10000;
 constexpr std::size_t bytesPerMb = 1u << 20;
-constexpr std::size_t bodyBytesOfUnknownMachine = 384 * bytesPerMb; // three eighths of 1 GB
+constexpr std::size_t unknownMemoryMb = 1024;
+constexpr std::size_t bodyBytesOfUnknownMachine = unknownMemoryMb * bytesPerMb / 8 * 3;
 
 void apply(net::HttpServerSettings &server, const net::RequestSettings &settings, net::RequestShare share)
 {
@@ -51,6 +52,12 @@
                                 settings.maxConnections));
 }
 
+std::size_t jobBytes(const net::RequestSettings &settings)
+{
+    const std::size_t memoryMb = settings.memoryMb > 0 ? settings.memoryMb : unknownMemoryMb;
+    return net::deriveJobBytes(memoryMb * bytesPerMb, settings.jobMb * bytesPerMb);
+}
+
 void addRequestLimits(Families &families, std::span<const ServerUsage> servers)
 {
     families.begin(MetricType::Counter, "request_limits_total", "Connections closed or refused for a limit.");
--- a/packages/dispatcher/request_limits.h
+++ b/packages/dispatcher/request_limits.h
@@ -16,6 +16,9 @@
 // The same for a server for probes (readiness, metrics).
 void limitProbeServer(net::HttpServerSettings &server, const net::RequestSettings &settings);
 
+// Memory for jobs and for requests that wait.
+std::size_t jobBytes(const net::RequestSettings &settings);
+
 struct ServerUsage
 {
     std::string_view name;
--- a/packages/net/request_budget.cpp
+++ b/packages/net/request_budget.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t callerMemoryShare = 3;
 constexpr std::size_t probeMemoryDivisor = 8; // of the callers' share
 constexpr std::size_t memoryShares = 8;
+constexpr std::size_t jobMemoryShare = 2;
 constexpr unsigned callerFdDivisor = 2; // the other half is for backend servers, peers and the store
 constexpr unsigned probeFdDivisor = 16;
 
@@ -43,6 +44,11 @@
     return limitConnections(bytes, connectionBytes, std::min(maxConnections, maxFds / probeFdDivisor));
 }
 
+std::size_t deriveJobBytes(std::size_t memoryBytes, std::size_t jobBytes)
+{
+    return jobBytes > 0 ? jobBytes : memoryBytes / memoryShares * jobMemoryShare;
+}
+
 ConnectionSlot RequestBudget::open(std::int64_t nowMs)
 {
     if (m_free.empty()) {
--- a/packages/net/request_budget.h
+++ b/packages/net/request_budget.h
@@ -51,6 +51,7 @@
     std::uint32_t memoryMb = 512;        // of the machine; 0: unknown, requests may take at least 384 MB
     std::uint32_t maxFds = 3075;         // descriptors of the process; 0: unknown
     std::uint32_t requestMb = 0;         // for callers' connections, bodies and unread answers; 0: 3/8 of memoryMb
+    std::uint32_t jobMb = 0;             // for jobs and requests that wait; 0: 1/4 of memoryMb
     std::uint32_t maxConnections = 2000; // of callers, lower if memoryMb or maxFds need it
     std::int64_t idleTimeoutMs = 30000;  // without a byte in either direction, or until the next complete header
     std::uint32_t maxDiscardBytes = 300u << 10;   // read of a body over the limit before the connection is closed
@@ -75,6 +76,9 @@
 RequestShare deriveProbeShare(std::size_t memoryBytes, unsigned maxFds, std::size_t connectionBytes,
                               unsigned maxConnections);
 
+// Memory for the jobs of callers. jobBytes replaces the share of the memory if it is not 0.
+std::size_t deriveJobBytes(std::size_t memoryBytes, std::size_t jobBytes);
+
 // RequestBudget -------------------------------------------------------------------------------------
 
 enum class ConnectionSlot : std::uint32_t {}; // of an open connection; reused after close()
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -55,11 +55,12 @@
     TimeUs joinIntervalUs = 0;           // an entry VM learns its newest shards within this; 0: all learn them at once
     // An order that is carried out late has arrived when it was sent: a cut that begins later does not stop it.
     bool lateOrdersArrive = false;
-    std::vector<std::string> racks{}; // of the backend servers, assigned round-robin
-    std::vector<std::string> kinds{}; // of the backend servers, assigned round-robin
-    double farX = 1.0;                // run time of a task on another rack than its data, as a multiple
-    double knownFarX = 0;             // in the settings of the entry VMs; 0: farX
-    TimeUs maxBetterWaitUs = usPerS;  // see FleetSettings
+    std::vector<std::string> racks{};  // of the backend servers, assigned round-robin
+    std::vector<std::string> kinds{};  // of the backend servers, assigned round-robin
+    double farX = 1.0;                 // run time of a task on another rack than its data, as a multiple
+    double knownFarX = 0;              // in the settings of the entry VMs; 0: farX
+    TimeUs maxBetterWaitUs = usPerS;   // see FleetSettings
+    std::size_t jobBytes = 384u << 20; // see FleetSettings
     std::uint64_t seed = 1;
     bool trace = false; // prints log lines and runs
 };
@@ -224,9 +225,10 @@
     {
         Node &node = m_nodes[static_cast<std::size_t>(index)];
         node.takesShards = false;
-        node.core = std::make_unique<FleetDispatcher>(FleetSettings{
-                node.name, node.zone, node.milliCores, usPerS, 6 * usPerS,
-                m_settings.knownFarX > 0 ? m_settings.knownFarX : m_settings.farX, m_settings.maxBetterWaitUs});
+        node.core = std::make_unique<FleetDispatcher>(
+                FleetSettings{node.name, node.zone, node.milliCores, usPerS, 6 * usPerS,
+                              m_settings.knownFarX > 0 ? m_settings.knownFarX : m_settings.farX,
+                              m_settings.maxBetterWaitUs, m_settings.jobBytes});
         const int incarnation = ++node.incarnation;
         deliver(index, ConfigurationRead{configuration()});
         m_operatorOffsets[index] = -1;
--- a/tests/unit/config/settings_test.cpp
+++ b/tests/unit/config/settings_test.cpp
@@ -36,7 +36,7 @@
             "[limits]\nmax_body_bytes = 2048\nmax_header_bytes = 2049\nmax_connections = 5\nmax_tasks = 6\n"
             "max_frame_bytes = 6000000\nmax_queued_tasks = 7\nmax_remembered_keys = 8\nmax_answer_bytes = 1048577\n"
             "trace_jobs = 9\nsnapshot_every = 10\n"
-            "memory_mb = 120\nmax_fds = 1024\nrequest_memory_mb = 40\nidle_timeout_ms = 2000\n"
+            "memory_mb = 120\nmax_fds = 1024\nrequest_memory_mb = 40\njob_memory_mb = 30\nidle_timeout_ms = 2000\n"
             "max_discard_bytes = 11\nunread_answer_ms = 12\nunread_answer_bytes = 1025\nmax_pending_links = 13\n"
             "[timing]\ngrant_ahead_ms = 9000\ngrant_extend_ms = 1001\ndedupe_horizon_ms = 20000\n"
             "max_progress_step_ms = 9501\nfuture_skew_ms = 1002\ndrain_linger_ms = 1003\nprobe_interval_ms = 104\n"
@@ -60,7 +60,7 @@
     CHECK(settings->vmListIntervalMs == 250);
     CHECK(settings->maxBodyBytes == 2048);
     CHECK(settings->maxHeaderBytes == 2049);
-    CHECK(settings->requests == net::RequestSettings{120, 1024, 40, 5, 2000, 11, 12, 1025, 13});
+    CHECK(settings->requests == net::RequestSettings{120, 1024, 40, 30, 5, 2000, 11, 12, 1025, 13});
     CHECK(settings->maxTasks == 6);
     CHECK(settings->maxFrameBytes == 6000000);
     CHECK(settings->core.maxQueuedTasks == 7);
