Stop decoding a job that has too many values to be served

Callers saw: beside 800 bodies of 264 KB, each a job of 24,000 steps, an ordinary request got no answer within 10 s. Cause: every step was decoded field by field on the I/O thread and kept in ten times its bytes, although a job of several steps is refused. Jobs that this version cannot serve are refused before their tasks are built.

--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -449,7 +449,8 @@
 
 void FleetDispatcher::submit(CallerRequest &request, const Route &route, std::string_view id)
 {
-    if (!isJobId(id) || !request.job || request.job->steps.empty() || request.job->steps.front().count == 0) {
+    const bool hasTasks = request.job && !request.job->steps.empty() && request.job->steps.front().count > 0;
+    if (!isJobId(id) || !request.job || (!hasTasks && request.job->unsupported.empty())) {
         const std::string problem = !isJobId(id) ? "the job's id is not 16 hexadecimal digits"
                 : request.problem.empty()        ? "the job has no tasks"
                                                  : request.problem;
@@ -465,6 +466,10 @@
         return;
     }
     const JobRequest &wanted = *request.job;
+    if (const std::string_view reason = findUnservable(wanted, route); !reason.empty()) {
+        refuse(request.caller, id, reason, 0);
+        return;
+    }
     const StepRequest &step = wanted.steps.front();
     Job job;
     job.id = id;
@@ -486,10 +491,7 @@
     job.budgetUs = request.budgetUs;
     job.dueAt = std::min(m_now + objectiveUs, job.lastUsefulAt);
     if (m_drained || m_now + job.workUs >= drainEnd()) {
-        ++m_counters.refused;
-        ++m_counters.reasons["stopping"];
-        logLine(false, "jobs", concat("job refused job=", id, " reason=stopping"));
-        answer(request.caller, AnswerKind::Refused, "stopping", notReadyRetryAfterUs);
+        refuse(request.caller, id, "stopping", notReadyRetryAfterUs);
         return;
     }
     job.memoryBytes = memoryOfJob(wanted);
@@ -501,10 +503,6 @@
     job.waiting = step.count;
     Job &kept = m_jobs[std::string(id)] = std::move(job);
     m_callers[request.caller] = kept.id;
-    if (const std::string_view reason = findUnservable(wanted, route); !reason.empty()) {
-        refuseJob(kept, reason, 0);
-        return;
-    }
     if (m_serversKnown && !m_commander.hasFittedSomewhere(kept.taskResources, kept.service)
         && isRegistryIncomplete(kept.service)) {
         refuseJob(kept, "registry_incomplete", lapsedGraceUs);
@@ -541,6 +539,15 @@
     m_dispatchNeeded = true;
 }
 
+// Refuses a request before it becomes a job.
+void FleetDispatcher::refuse(CallerId caller, std::string_view id, std::string_view reason, TimeUs retryAfterUs)
+{
+    ++m_counters.refused;
+    ++m_counters.reasons[reason];
+    logLine(false, "jobs", concat("job refused job=", id, " reason=", reason));
+    answer(caller, AnswerKind::Refused, reason, retryAfterUs);
+}
+
 // Whether a run of an earlier submission may exist or have existed.
 bool FleetDispatcher::mayHaveRun(std::string_view id) const
 {
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -260,6 +260,7 @@
     void rememberGoneCaller(CallerId caller);
     void submit(CallerRequest &request, const Route &route, std::string_view id);
     void send(AnswerCaller &&answer);
+    void refuse(CallerId caller, std::string_view id, std::string_view reason, TimeUs retryAfterUs);
     bool mayHaveRun(std::string_view id) const;
     void refuseForMemory(CallerId caller, std::string_view id, std::size_t bytes, TimeUs retryAfterUs);
     bool isRegistryIncomplete(std::string_view service) const;
--- a/packages/net/bounded_json.h
+++ b/packages/net/bounded_json.h
@@ -60,6 +60,7 @@
     // NOLINTEND(readability-identifier-naming)
 
     const std::string &error() const { return m_error; }
+    bool isOverValueLimit() const { return m_values > m_limits.maxValues; }
 
 private:
     bool count()
@@ -98,15 +99,17 @@
 } // namespace detail
 
 // Discarded (Json::is_discarded) when the input is malformed or over a limit; error then holds the position and
-// the reason.
+// the reason. isOverValueLimit tells whether the input has more than limits.maxValues.
 inline Json parseBounded(std::string_view input, Json::input_format_t format, const ParseLimits &limits,
-                         std::string &error)
+                         std::string &error, bool *isOverValueLimit = nullptr)
 {
     Json root;
     detail::BoundedParser parser(root, limits, input.size());
     if (Json::sax_parse(input.begin(), input.end(), &parser, format))
         return root;
     error = parser.error();
+    if (isOverValueLimit != nullptr)
+        *isOverValueLimit = parser.isOverValueLimit();
     return Json(Json::value_t::discarded);
 }
 
--- a/tests/unit/command/fleet_dispatcher_test.cpp
+++ b/tests/unit/command/fleet_dispatcher_test.cpp
@@ -79,6 +79,8 @@
     CHECK(ask("/q/not-an-id", JobRequest{"", {{1, {1000, 1, 0}, 0, {}, {}}}, true, {}}) == Kind::Malformed);
     CHECK(ask("/q/0000000000000001", JobRequest{"", {{1, {1000, 1, 0}, 0, {}, {}}}, false, {}}) == Kind::Refused);
     CHECK(ask("/q/0000000000000001", JobRequest{"", {{1, {1000, 1, 0}, 0, {}, "gang"}}, true, {}}) == Kind::Refused);
+    CHECK(ask("/q/0000000000000001", JobRequest{"", {}, true, "more than 4096 values"}) == Kind::Refused);
+    CHECK(ask("/q/0000000000000001", JobRequest{"", {}, true, {}}) == Kind::Malformed);
 }
 
 TEST_CASE("an older configuration does not replace a newer one")
