Bound the starts, runs and stops in progress on a commander

Callers saw: 600 jobs of 1,000 tasks without resources and with specifications of 16,000 bytes took an entry VM over 120 MB. Cause: such tasks fit every backend server, so thousands of starts, each with the specification, were queued in the HTTP client; and the end of a wide job sent one stop for each of its runs at once, at about 10 KB a request.

A commander now starts no further task while the starts in progress or the runs take a sixteenth of the memory; its peers see a full link. At most 256 stops are in progress, further ones wait as the state of their runs and are sent within 20 ms turns.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -196,8 +196,7 @@
         Run &run = m_runs.find(task)->second;
         if (run.state != RunState::Stopping)
             continue;
-        run.stopSentAt = now;
-        sendStop(now, server, task, run.number, actions);
+        sendOrDelayStop(now, task, run, actions);
     }
 }
 
@@ -275,6 +274,7 @@
 
 void Commander::sendStop(TimeUs, const Server &server, const TaskId &task, RunNumber run, std::vector<Action> &actions)
 {
+    ++m_stopsInProgress;
     actions.push_back(SendStop{server.entry.id, server.entry.address, task, run, server.token, stopTimeoutUs});
 }
 
@@ -318,6 +318,11 @@
             && mayRenew(server, now);
 }
 
+bool Commander::isFull() const
+{
+    return m_startDelay.unanswered() + m_heldStarts >= m_settings.maxStarts || m_runs.size() >= m_settings.maxRuns;
+}
+
 bool Commander::start(TimeUs now, std::string_view coordinator, const PlaceTasks &order, const PlaceTasks::Item &item,
                       std::vector<Action> &actions)
 {
@@ -326,7 +331,7 @@
         return false;
     Server &server = m_servers[found->second];
     const TaskId task{order.job, item.index};
-    if (!canStart(server, now) || startsLeft(server, now) == 0 || server.entry.service != order.service
+    if (isFull() || !canStart(server, now) || startsLeft(server, now) == 0 || server.entry.service != order.service
         || !order.taskResources.fitsInto(server.entry.capacity - server.used) || m_runs.contains(task))
         return false;
     Run run;
@@ -360,6 +365,7 @@
         return true;
     }
     kept.state = RunState::Held;
+    ++m_heldStarts;
     server.heldStarts.push_back(std::move(start));
     if (!isHoldOpen)
         sendHold(now, server, false, 0, actions);
@@ -384,6 +390,7 @@
                                   std::vector<RunEndNotice> &ended)
 {
     const bool isStartable = canStart(server, now);
+    m_heldStarts -= server.heldStarts.size();
     for (SendStart &order : std::exchange(server.heldStarts, {})) {
         const auto found = m_runs.find(order.task);
         if (found == m_runs.end() || found->second.number != order.run)
@@ -397,6 +404,7 @@
 
 void Commander::dropHeldStarts(TimeUs now, Server &server, std::vector<RunEndNotice> &ended)
 {
+    m_heldStarts -= server.heldStarts.size();
     for (const SendStart &order : std::exchange(server.heldStarts, {})) {
         const auto found = m_runs.find(order.task);
         if (found != m_runs.end() && found->second.number == order.run)
@@ -586,16 +594,25 @@
     if (run.state == RunState::Stopping)
         return;
     run.state = RunState::Stopping;
-    run.stopSentAt = now;
     run.firstStopSentAt = now;
-    sendStop(now, m_servers[run.server], task, run.number, actions);
+    sendOrDelayStop(now, task, run, actions);
 }
 
 void Commander::repeatStop(TimeUs now, const TaskId &task, Run &run, std::vector<Action> &actions)
 {
-    run.stopSentAt = now;
     run.nextStopAt = never;
-    sendStop(now, m_servers[run.server], task, run.number, actions);
+    sendOrDelayStop(now, task, run, actions);
+}
+
+// The end of a wide job stops thousands of runs at once. Their requests are sent a limited number at a time; the others
+// wait here, where a stop takes no memory of its own.
+void Commander::sendOrDelayStop(TimeUs now, const TaskId &task, Run &run, std::vector<Action> &actions)
+{
+    run.stopSentAt = now;
+    if (m_stopsInProgress < maxStopsInProgress)
+        sendStop(now, m_servers[run.server], task, run.number, actions);
+    else
+        run.nextStopAt = now + delayedStopUs;
 }
 
 void Commander::stopJob(TimeUs now, std::string_view coordinator, std::string_view job, std::vector<Action> &actions)
--- a/packages/command/commander.h
+++ b/packages/command/commander.h
@@ -31,6 +31,8 @@
 {
     std::string zone;                   // availability zone whose backend servers are commanded
     TimeUs maxLeaseUs = 1000 * usPerMs; // backend servers shorten longer leases to this
+    std::size_t maxStarts = SIZE_MAX;   // in progress at a time, each with the specification of its job
+    std::size_t maxRuns = SIZE_MAX;     // at a time, on all commanded backend servers
 };
 
 // Node name for this entry VM as coordinator of a job or as commander of a backend server.
@@ -130,6 +132,8 @@
     // Free capacities of the commanded backend servers, for placing here and for reports to peers.
     std::vector<CapacityReport::ServerCapacity> capacities(TimeUs now) const;
     bool hasRuns() const { return !m_runs.empty(); }
+    std::size_t runCount() const { return m_runs.size(); }
+    std::size_t stopsInProgress() const { return m_stopsInProgress; } // sent and neither answered nor timed out
     // Coordinators of the runs, with repetitions; valid until the next event.
     std::vector<std::string_view> runCoordinators() const;
     bool isCommanded(std::string_view server) const;
@@ -149,6 +153,9 @@
     bool hasFittedSomewhere(const Resources &taskResources, std::string_view service) const;
     bool hasServers(std::string_view service) const;
     const StartDelay &startDelay() const { return m_startDelay; }
+    // Whether start() returns false for every backend server, because as many starts or runs as possible are in
+    // progress.
+    bool isFull() const;
     std::uint64_t capacityVersion() const { return m_capacityVersion; } // increases when capacities() may have changed
 
 private:
@@ -172,7 +179,7 @@
         std::int64_t incarnationStartMs = 0; // incarnation for whose clock the lease of the start was computed
         TimeUs stopSentAt = 0;               // of Stopping
         TimeUs firstStopSentAt = 0;          // of Stopping: when the first stop was sent
-        TimeUs nextStopAt = never;           // of Stopping: when a rejected stop is sent again
+        TimeUs nextStopAt = never;           // of Stopping: when a rejected or delayed stop is sent
         TimeUs expectedUs = 0;               // work on a backend server of speed 1
         RunEnd reportAs = RunEnd::Done;      // of Stopping; Done: as reported by the backend server
     };
@@ -243,6 +250,7 @@
     void releaseHeldStarts(TimeUs now, Server &server, std::vector<Action> &actions, std::vector<RunEndNotice> &ended);
     void dropHeldStarts(TimeUs now, Server &server, std::vector<RunEndNotice> &ended);
     void sendStop(TimeUs now, const Server &server, const TaskId &task, RunNumber run, std::vector<Action> &actions);
+    void sendOrDelayStop(TimeUs now, const TaskId &task, Run &run, std::vector<Action> &actions);
     void stopRun(TimeUs now, const TaskId &task, Run &run, std::vector<Action> &actions);
     void repeatStop(TimeUs now, const TaskId &task, Run &run, std::vector<Action> &actions);
     void endRun(TimeUs now, const TaskId &task, RunEnd end, TimeUs maxRemainingUs, std::vector<RunEndNotice> &ended);
@@ -292,6 +300,8 @@
     std::map<std::string, std::map<std::uint64_t, std::uint32_t>, std::less<>> m_unconfirmedRuns;
     ShardsAssigned m_shards;
     StartDelay m_startDelay;
+    std::size_t m_heldStarts = 0;      // on all backend servers
+    std::size_t m_stopsInProgress = 0; // sent and neither answered nor timed out
     UnconfirmedStarts m_unconfirmedStarts;
     std::uint64_t m_lastSequence = 0;
     std::uint64_t m_capacityVersion = 1;
--- a/packages/command/commander_answers.cpp
+++ b/packages/command/commander_answers.cpp
@@ -222,6 +222,7 @@
 
 void Commander::onStopResult(TimeUs now, const StopResult &event, std::vector<Action> &actions)
 {
+    m_stopsInProgress -= m_stopsInProgress > 0 ? 1 : 0;
     const auto foundServer = m_indexes.find(event.server);
     if (foundServer == m_indexes.end())
         return;
--- a/packages/command/commander_limits.h
+++ b/packages/command/commander_limits.h
@@ -12,6 +12,9 @@
 constexpr TimeUs answerTimeoutUs = 150 * usPerMs;    // of orders that are answered at once: 100 round-trip times
 constexpr TimeUs stopBoundUs = 100 * usPerMs;  // a run has ended by then after its stop was answered; it takes 50 ms
 constexpr TimeUs stopTimeoutUs = 80 * usPerMs; // a stop without an answer is sent again after this
+// Stops in progress at a time. Each takes a request of the HTTP client, about 10 KB; further ones are delayed.
+constexpr std::size_t maxStopsInProgress = 256;
+constexpr TimeUs delayedStopUs = 20 * usPerMs;
 constexpr TimeUs unhealthyBlockUs = 150 * usPerMs; // after the answer "unhealthy"
 
 constexpr TimeUs maxListAgeUs = 20 * usPerMs; // lists are handled within a pass of the control thread
--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -47,7 +47,8 @@
 } // namespace
 
 FleetDispatcher::FleetDispatcher(const FleetSettings &settings)
-    : m_settings(settings), m_commander({settings.zone, settings.maxLeaseUs}), m_jobMemory(settings.jobBytes)
+    : m_settings(settings), m_commander({settings.zone, settings.maxLeaseUs, settings.maxStarts, settings.maxRuns}),
+      m_jobMemory(settings.jobBytes)
 {}
 
 void FleetDispatcher::apply(TimeUs now, Event &&event, std::vector<Action> &actions)
@@ -270,9 +271,10 @@
 
 void FleetDispatcher::on(StartResult &event)
 {
+    const bool wasFull = m_commander.isFull();
     m_commander.onStartResult(m_now, event, *m_actions, m_ended);
     const bool isSlowLink = m_commander.startDelay().isSlowLink();
-    m_dispatchNeeded = m_dispatchNeeded || isSlowLink; // tasks may wait for the link
+    m_dispatchNeeded = m_dispatchNeeded || isSlowLink || wasFull; // tasks may wait for the link or for earlier starts
     if (std::exchange(m_wasSlowLink, isSlowLink) != isSlowLink)
         logLine(isSlowLink, "link",
                 concat(isSlowLink ? "starts wait for the network link" : "starts no longer wait for the network link",
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -42,7 +42,9 @@
     TimeUs drainUs = 6 * usPerS;        // longest drain
     double farX = 1.0;                  // run time of a task on another rack than its data, as a multiple
     TimeUs maxBetterWaitUs = usPerS;    // longest wait of a job for better backend servers; 0: none
-    std::size_t jobBytes = 384u << 20;  // of all jobs and waiting requests; of a machine of unknown size
+    std::size_t jobBytes = 256u << 20;  // of all jobs and waiting requests
+    std::size_t maxStarts = SIZE_MAX;   // see CommanderSettings
+    std::size_t maxRuns = SIZE_MAX;     // see CommanderSettings
 };
 
 // Totals since the start.
--- a/packages/command/fleet_peers.cpp
+++ b/packages/command/fleet_peers.cpp
@@ -348,6 +348,8 @@
     report.configurationVersion = m_routes.configuration().version;
     report.wantsCapacity = wantsCapacity();
     report.startQueueUs = m_commander.startDelay().queuedUs();
+    if (m_commander.isFull()) // peers send no starts to such a link
+        report.startQueueUs = std::max(report.startQueueUs, maxStartDelayUs + usPerMs);
     report.perStartUs = m_commander.startDelay().perOrderUs();
     if (withCapacities && peer.coordinates && peer.reportedVersion < m_reportVersion) {
         for (const auto &[server, reported] : m_reported) {
--- a/packages/command/fleet_placing.cpp
+++ b/packages/command/fleet_placing.cpp
@@ -71,6 +71,8 @@
             continue;
         ++m_knownCapacityCount;
         m_fastestSpeed = std::max(m_fastestSpeed, capacity.speed);
+        if (m_commander.isFull())
+            continue;
         const auto [entry, rack, kind] = m_commander.findListed(capacity.server);
         if (entry == nullptr || !smallest.fitsInto(capacity.free))
             continue;
--- a/packages/command/start_delay.h
+++ b/packages/command/start_delay.h
@@ -25,6 +25,7 @@
     // The order was answered tookUs after it was sent; unanswered: as returned by onSent().
     void learn(TimeUs tookUs, std::size_t unanswered);
 
+    std::size_t unanswered() const { return m_unanswered; }
     TimeUs perOrderUs() const { return m_perOrderUs; }
     // Expected time until the orders sent so far have left.
     TimeUs queuedUs() const { return static_cast<TimeUs>(m_unanswered) * m_perOrderUs; }
--- a/packages/dispatcher/fleet_daemon.cpp
+++ b/packages/dispatcher/fleet_daemon.cpp
@@ -81,7 +81,7 @@
 {
     command::FleetSettings fleet{settings.node,       settings.zone,        settings.milliCores,
                                  settings.maxLeaseUs, settings.stopGraceUs, settings.farX};
-    fleet.jobBytes = jobBytes(settings.requests);
+    limitJobs(fleet, settings.requests);
     return fleet;
 }
 
--- a/packages/dispatcher/request_limits.cpp
+++ b/packages/dispatcher/request_limits.cpp
@@ -12,6 +12,12 @@
 constexpr std::int64_t reportIntervalMs = 10000;
 constexpr std::size_t bytesPerMb = 1u << 20;
 constexpr std::size_t unknownMemoryMb = 1024;
+// Starts in progress and runs take a sixteenth of the memory each. A start has a request of the HTTP client and a
+// specification of up to 16 KiB; a run is kept with its names by the commander and by the coordinator.
+constexpr std::size_t orderMemoryDivisor = 16;
+constexpr std::size_t bytesPerStart = 26u << 10;
+constexpr std::size_t bytesPerRun = 640;
+constexpr std::size_t minStarts = 64;
 constexpr std::size_t bodyBytesOfUnknownMachine = unknownMemoryMb * bytesPerMb / 8 * 3;
 
 void apply(net::HttpServerSettings &server, const net::RequestSettings &settings, net::RequestShare share)
@@ -52,10 +58,12 @@
                                 settings.maxConnections));
 }
 
-std::size_t jobBytes(const net::RequestSettings &settings)
+void limitJobs(command::FleetSettings &fleet, const net::RequestSettings &settings)
 {
-    const std::size_t memoryMb = settings.memoryMb > 0 ? settings.memoryMb : unknownMemoryMb;
-    return net::deriveJobBytes(memoryMb * bytesPerMb, settings.jobMb * bytesPerMb);
+    const std::size_t memory = (settings.memoryMb > 0 ? settings.memoryMb : unknownMemoryMb) * bytesPerMb;
+    fleet.jobBytes = net::deriveJobBytes(memory, settings.jobMb * bytesPerMb);
+    fleet.maxStarts = std::max(memory / orderMemoryDivisor / bytesPerStart, minStarts);
+    fleet.maxRuns = memory / orderMemoryDivisor / bytesPerRun;
 }
 
 void addRequestLimits(Families &families, std::span<const ServerUsage> servers)
--- a/packages/dispatcher/request_limits.h
+++ b/packages/dispatcher/request_limits.h
@@ -1,6 +1,7 @@
 // Limits on requests of the servers of a process: from settings to servers, and from their counters to metrics and log.
 #pragma once
 
+#include "command/fleet_dispatcher.h"
 #include "dispatcher/metric_families.h"
 #include "net/http_server.h"
 #include "net/peer_link.h"
@@ -16,8 +17,8 @@
 // The same for a server for probes (readiness, metrics).
 void limitProbeServer(net::HttpServerSettings &server, const net::RequestSettings &settings);
 
-// Memory for jobs and for requests that wait.
-std::size_t jobBytes(const net::RequestSettings &settings);
+// Sets the limits on jobs, starts and runs.
+void limitJobs(command::FleetSettings &fleet, const net::RequestSettings &settings);
 
 struct ServerUsage
 {
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -60,7 +60,9 @@
     double farX = 1.0;                 // run time of a task on another rack than its data, as a multiple
     double knownFarX = 0;              // in the settings of the entry VMs; 0: farX
     TimeUs maxBetterWaitUs = usPerS;   // see FleetSettings
-    std::size_t jobBytes = 384u << 20; // see FleetSettings
+    std::size_t jobBytes = 256u << 20; // see FleetSettings
+    std::size_t maxStarts = SIZE_MAX;  // see CommanderSettings
+    std::size_t maxRuns = SIZE_MAX;    // see CommanderSettings
     std::uint64_t seed = 1;
     bool trace = false; // prints log lines and runs
 };
@@ -225,10 +227,10 @@
     {
         Node &node = m_nodes[static_cast<std::size_t>(index)];
         node.takesShards = false;
-        node.core = std::make_unique<FleetDispatcher>(
-                FleetSettings{node.name, node.zone, node.milliCores, usPerS, 6 * usPerS,
-                              m_settings.knownFarX > 0 ? m_settings.knownFarX : m_settings.farX,
-                              m_settings.maxBetterWaitUs, m_settings.jobBytes});
+        node.core = std::make_unique<FleetDispatcher>(FleetSettings{
+                node.name, node.zone, node.milliCores, usPerS, 6 * usPerS,
+                m_settings.knownFarX > 0 ? m_settings.knownFarX : m_settings.farX, m_settings.maxBetterWaitUs,
+                m_settings.jobBytes, m_settings.maxStarts, m_settings.maxRuns});
         const int incarnation = ++node.incarnation;
         deliver(index, ConfigurationRead{configuration()});
         m_operatorOffsets[index] = -1;
--- a/tests/unit/command/job_memory_test.cpp
+++ b/tests/unit/command/job_memory_test.cpp
@@ -82,5 +82,56 @@
     CHECK(world.answer(again)->reason == "no_memory");
 }
 
+// Guards against orders that exhaust the memory: each start in progress carries the specification of its job.
+TEST_CASE("starts and runs in progress stay within their limits")
+{
+    FleetWorld world({.zones = {{"a", 2, 4}}, .orderDelayUs = 20 * usPerMs, .maxStarts = 64, .maxRuns = 500});
+    world.start();
+    std::vector<CallerId> callers;
+    for (std::uint64_t number = 1; number <= 20; ++number)
+        callers.push_back(world.submit(static_cast<int>(number % 2),
+                                       {.id = makeJobId(number), .tasks = 200, .workUs = usPerS, .milliCores = 0}));
+    std::size_t mostStarts = 0;
+    std::size_t mostRuns = 0;
+    for (int step = 0; step < 400; ++step) {
+        world.runFor(5 * usPerMs);
+        for (int node = 0; node < 2; ++node) {
+            mostStarts = std::max(mostStarts, world.core(node).commander().startDelay().unanswered());
+            mostRuns = std::max(mostRuns, world.core(node).commander().runCount());
+        }
+    }
+    CHECK(mostStarts > 32);
+    CHECK(mostStarts <= 64);
+    CHECK(mostRuns > 64);
+    CHECK(mostRuns <= 500);
+    world.runFor(10 * usPerS);
+    for (const CallerId caller : callers)
+        CHECK(world.answer(caller) != nullptr);
+    CHECK(world.violations().empty());
+}
+
+// Guards against one request for each run of a wide job when it is cancelled, and against stops that are forgotten.
+TEST_CASE("a limited number of stops is in progress at a time")
+{
+    FleetWorld world({.zones = {{"a", 1, 4}}, .orderDelayUs = 10 * usPerMs});
+    world.start();
+    const WorldJob job{
+            .id = makeJobId(1), .tasks = 4000, .workUs = 20 * usPerS, .milliCores = 0, .budgetUs = 60 * usPerS};
+    const CallerId caller = world.submit(0, job);
+    world.runFor(2 * usPerS);
+    REQUIRE(world.core(0).commander().runCount() == 4000);
+    world.leave(0, caller);
+    std::size_t most = 0;
+    for (int step = 0; step < 100; ++step) {
+        world.runFor(10 * usPerMs);
+        most = std::max(most, world.core(0).commander().stopsInProgress());
+    }
+    CHECK(most == 256);
+    world.runFor(2 * usPerS);
+    CHECK_FALSE(world.core(0).commander().hasRuns());
+    CHECK(world.core(0).commander().stopsInProgress() == 0);
+    CHECK(world.violations().empty());
+}
+
 } // namespace
 } // namespace clementinelift::command
