Count complete requests until they are decoded and taken over

Callers saw: 300 bodies of 7.2 MB with a malformed key took an entry VM of 120 MB to 129 to 162 MB (16 I/O threads, arm64). Cause: a complete body left the budget of requests when its handler began, so every thread could hold a body, its JSON and the decoded request, and decoded requests waited for the control thread uncounted.

The budget now holds three times the body while the handler runs, and the body until the request is taken over or answered; without room the request gets 503 before it is decoded. At most two arenas are used, and blocks from 256 KiB are returned at once.

Without the change 'the bytes of a request count until its call is released or answered' does not compile.

--- a/packages/dispatcher/daemon.cpp
+++ b/packages/dispatcher/daemon.cpp
@@ -306,10 +306,16 @@
         ++traffic.messages;
         traffic.bytes += item.traffic.bytes;
     }
-    if (const auto *admin = std::get_if<AdminCall>(&item.content))
+    if (const auto *admin = std::get_if<AdminCall>(&item.content)) {
         answerAdmin(*admin);
-    else
-        handleEvent(std::move(std::get<core::Event>(item.content)));
+        return;
+    }
+    auto &event = std::get<core::Event>(item.content);
+    const auto *submission = std::get_if<core::SubmitJob>(&event);
+    const HttpCall call{submission != nullptr ? core::raw(submission->caller) : 0};
+    handleEvent(std::move(event));
+    if (submission != nullptr)
+        server->release(call);
 }
 
 void Daemon::State::handleEvent(core::Event &&event)
--- a/packages/dispatcher/fleet_daemon.cpp
+++ b/packages/dispatcher/fleet_daemon.cpp
@@ -291,7 +291,11 @@
 void FleetDaemon::State::handle(QueueItem &&item)
 {
     if (auto *event = std::get_if<Event>(&item)) {
+        const auto *request = std::get_if<command::CallerRequest>(event);
+        const HttpCall call{request != nullptr ? static_cast<std::uint64_t>(request->caller) : 0};
         handleEvent(std::move(*event));
+        if (request != nullptr)
+            callers->release(call);
     } else if (const auto *ready = std::get_if<ReadyCall>(&item)) {
         readiness->answer(ready->call, platform::encodeReadiness(core.isReady()));
     } else if (const auto *call = std::get_if<MetricsCall>(&item)) {
--- a/packages/dispatcher/main.cpp
+++ b/packages/dispatcher/main.cpp
@@ -13,6 +13,8 @@
 #include <iostream>
 #include <utility>
 
+#include <malloc.h>
+
 using namespace clementinelift;
 
 namespace {
@@ -164,10 +166,22 @@
     return 0;
 }
 
+// By default, glibc keeps freed memory apart for each thread, and raises the size from which blocks are returned to the
+// system to that of the largest block. With bodies of several MB on many threads both exceed the memory in use by far.
+void limitFreedMemory()
+{
+    constexpr int maxArenas = 2;
+    constexpr int mmapThresholdBytes = 256 << 10;
+    mallopt(M_ARENA_MAX, maxArenas);
+    mallopt(M_MMAP_THRESHOLD, mmapThresholdBytes);
+    mallopt(M_TRIM_THRESHOLD, 2 * mmapThresholdBytes);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
+    limitFreedMemory();
     const sigset_t signals = blockSignals(); // before all else: a signal during startup must not end the process
     std::map<std::string, docopt::value> arguments;
     try {
--- a/packages/dispatcher/request_limits.cpp
+++ b/packages/dispatcher/request_limits.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::int64_t reportIntervalMs = 10000;
 constexpr std::size_t bytesPerMb = 1u << 20;
+constexpr std::size_t decodingFactor = 3; // body, parsed JSON and decoded request
 constexpr std::size_t unknownMemoryMb = 1024;
 // Starts in progress and runs take a sixteenth of the memory each. A start has a request of the HTTP client and a
 // specification of up to 16 KiB; a run is kept with its names by the commander and by the coordinator.
@@ -46,6 +47,7 @@
     // The number of connections is not lowered on a machine of unknown size; they may take three quarters of the bytes.
     if (memory == 0 && bytes == 0)
         bytes = bodyBytesOfUnknownMachine + settings.maxConnections * perConnection / 3 * 4;
+    server.handlerFactor = decodingFactor;
     apply(server, settings,
           net::deriveCallerShare(memory, knownFds(settings), bytes, perConnection, settings.maxConnections));
 }
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -50,6 +50,7 @@
     ConnectionSlot slot{};
     HttpCall call{};
     bool passedToHandler = false;
+    bool isReleased = false; // see HttpServer::release()
 };
 
 struct FreeAddress
@@ -177,6 +178,7 @@
     MHD_Result begin(MHD_Connection *connection, const char *path, const char *method, void **slot);
     MHD_Result receive(Exchange &exchange, std::string_view data);
     MHD_Result callHandler(Exchange &exchange);
+    void holdForCall(HttpCall call, std::size_t bytes);
     MHD_Result deliver(Exchange &exchange, HttpAnswer &&answer);
     void end(Exchange *exchange, bool isTimeout);
     void acceptBacklog(int socket);
@@ -307,11 +309,15 @@
     if (settings.dropsAbandonedRequests && isClosedByClient(exchange.connection))
         return MHD_NO;
     HttpCall call{};
+    const std::size_t bodyBytes = exchange.request.body.capacity();
+    bool hasRoom = true;
     {
         const std::lock_guard lock(mutex);
         if (!budget.complete(exchange.slot))
             return MHD_NO;
-        if (!rejectsCalls) {
+        hasRoom = budget.holdForHandler(exchange.slot, bodyBytes * settings.handlerFactor, coarseNowMs());
+        closeChosen();
+        if (hasRoom && !rejectsCalls) {
             exchange.passedToHandler = true;
             MHD_suspend_connection(exchange.connection);
             call = HttpCall{++lastCall};
@@ -319,13 +325,26 @@
             waiting.emplace(call, &exchange);
         }
     }
+    if (!hasRoom)
+        return deliver(exchange, makeBusyAnswer());
     if (call == HttpCall{})
         return deliver(exchange, makeStoppingAnswer());
     HttpRequest request = std::move(exchange.request);
     handler(call, std::move(request)); // exchange may be answered and deleted from here on
+    holdForCall(call, bodyBytes);
     return MHD_YES;
 }
 
+// Does nothing when the call has been answered.
+void HttpServer::State::holdForCall(HttpCall call, std::size_t bytes)
+{
+    const std::lock_guard lock(mutex);
+    const auto found = waiting.find(call);
+    if (found != waiting.end() && !found->second->isReleased)
+        budget.holdForHandler(found->second->slot, bytes, coarseNowMs());
+    closeChosen();
+}
+
 MHD_Result HttpServer::State::deliver(Exchange &exchange, HttpAnswer &&answer)
 {
     if (answer.status == statusDropped)
@@ -457,6 +476,16 @@
     return true;
 }
 
+void HttpServer::release(HttpCall call)
+{
+    const std::lock_guard lock(m_state->mutex);
+    const auto found = m_state->waiting.find(call);
+    if (found == m_state->waiting.end())
+        return;
+    found->second->isReleased = true;
+    m_state->budget.holdForHandler(found->second->slot, 0, coarseNowMs());
+}
+
 bool HttpServer::drop(HttpCall call)
 {
     return answer(call, {statusDropped, {}});
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -40,6 +40,7 @@
     std::int64_t idleTimeoutMs = 60000;         // without a byte in either direction, or until the next complete header
     bool dropsAbandonedRequests = false;        // whose client has closed the connection before they were read
     std::size_t requestBytes = SIZE_MAX;        // of all connections, bodies in progress and unread answers
+    std::size_t handlerFactor = 1;              // bytes that the handler takes for each byte of a body, with the body
     std::size_t maxDiscardBytes = 4u << 20;     // read of a body over maxBodyBytes before the connection is closed
     std::size_t unreadAnswerBytes = 256u << 10; // kept by the kernel for each connection
     std::int64_t unreadAnswerMs = 5000;         // answers unread for longer may be closed for requestBytes
@@ -84,7 +85,8 @@
 class HttpServer
 {
 public:
-    // Called on an I/O thread; must not block and may call answer().
+    // Called on an I/O thread; must not block and may call answer(). While it runs, handlerFactor bytes are counted for
+    // each byte of the body, then one until release().
     using Handler = std::function<void(HttpCall, HttpRequest &&)>;
 
     // The error says which address could not be used and why.
@@ -97,6 +99,10 @@
     // Thread-safe. False when the call is unknown, already answered or its connection is closed.
     bool answer(HttpCall call, HttpAnswer &&answer);
 
+    // The bytes of the call's request are kept elsewhere from now on, or were freed. Until then, or until the answer,
+    // they count against requestBytes. Thread-safe.
+    void release(HttpCall call);
+
     // Closes the connection of the call without an answer. Thread-safe; returns the same as answer().
     bool drop(HttpCall call);
 
--- a/packages/net/request_budget.cpp
+++ b/packages/net/request_budget.cpp
@@ -120,6 +120,21 @@
     return true;
 }
 
+// Requests that take a large part of the budget leave an eighth of it for small ones.
+bool RequestBudget::holdForHandler(ConnectionSlot slot, std::size_t bytes, std::int64_t nowMs)
+{
+    Connection &connection = at(slot);
+    hold(connection, bytes);
+    const std::size_t limit = bytes > m_limits.bytes / 16 ? m_limits.bytes - m_limits.bytes / 8 : m_limits.bytes;
+    if (m_usedBytes > limit)
+        makeRoom(nowMs);
+    if (bytes == 0 || m_usedBytes <= limit)
+        return true;
+    hold(connection, 0);
+    count(LimitReason::Memory);
+    return false;
+}
+
 bool RequestBudget::answer(ConnectionSlot slot, std::size_t answerBytes, std::int64_t nowMs)
 {
     Connection &connection = at(slot);
--- a/packages/net/request_budget.h
+++ b/packages/net/request_budget.h
@@ -98,6 +98,9 @@
     bool receive(ConnectionSlot slot, std::size_t bodyBytes, std::int64_t nowMs);
     // The request is complete and is about to run. False: the connection is being closed, nothing may run.
     bool complete(ConnectionSlot slot);
+    // After complete(): the handler takes as many bytes until the next call of this function, answer() or end(). False:
+    // there is no room, the request must be refused.
+    bool holdForHandler(ConnectionSlot slot, std::size_t bytes, std::int64_t nowMs);
     // The answer, which is held until end(), is about to be sent. False: close the connection after it, because others
     // wait for its place.
     bool answer(ConnectionSlot slot, std::size_t answerBytes, std::int64_t nowMs);
--- a/tests/unit/net/http_test.cpp
+++ b/tests/unit/net/http_test.cpp
@@ -118,6 +118,40 @@
     CHECK(handled % 100 == 1);
 }
 
+// Guards against bytes of a request that are not counted until it is taken over, or are counted after that.
+TEST_CASE("the bytes of a request count until its call is released or answered")
+{
+    HttpServerSettings settings;
+    settings.handlerFactor = 3;
+    std::promise<HttpCall> received;
+    std::size_t inHandler = 0;
+    std::unique_ptr<HttpServer> server;
+    auto started = HttpServer::start(settings, [&](HttpCall call, HttpRequest &&) {
+        inHandler = server->usage().bytes;
+        received.set_value(call);
+    });
+    REQUIRE(started);
+    server = *std::move(started);
+    HttpClient client({});
+    std::promise<HttpResult> answered;
+    constexpr std::size_t bodyBytes = 100000;
+    client.send({.method = "POST", .url = makeUrl(server->port(), "/"), .body = std::string(bodyBytes, 'x')},
+                [&](HttpResult &&result) { answered.set_value(std::move(result)); });
+    const HttpCall call = received.get_future().get();
+    CHECK(inHandler >= 3 * bodyBytes);
+    const auto waitForBytes = [&](auto isExpected) {
+        for (int i = 0; i < 500 && !isExpected(server->usage().bytes); ++i)
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        return isExpected(server->usage().bytes);
+    };
+    CHECK(waitForBytes([&](std::size_t bytes) { return bytes >= bodyBytes && bytes < 2 * bodyBytes; }));
+    server->release(call);
+    CHECK(server->usage().bytes < bodyBytes);
+    CHECK(server->answer(call, {200, "{}"}));
+    CHECK(answered.get_future().get().status == 200);
+    server->release(call); // does nothing
+}
+
 // Guards against a time limit that ends calls which wait for their answer.
 TEST_CASE("an answer that takes longer than the time without progress is delivered")
 {
--- a/tests/unit/net/request_budget_test.cpp
+++ b/tests/unit/net/request_budget_test.cpp
@@ -237,3 +237,46 @@
     CHECK(counted(budget, LimitReason::Memory) > 0);
     CHECK(counted(budget, LimitReason::Connections) > 0);
 }
+
+// Guards against complete bodies that are decoded at the same time beyond the budget.
+TEST_CASE("a handler takes memory only while there is room")
+{
+    RequestBudget budget({.bytes = 1600});
+    const auto openComplete = [&](std::size_t bytes) {
+        const ConnectionSlot slot = budget.open(0);
+        CHECK(budget.begin(slot, 0));
+        CHECK(budget.receive(slot, bytes, 0));
+        CHECK(budget.complete(slot));
+        return slot;
+    };
+    const ConnectionSlot large = openComplete(400);
+    CHECK(budget.holdForHandler(large, 1200, 1));
+    const ConnectionSlot other = openComplete(100);
+    CHECK_FALSE(budget.holdForHandler(other, 300, 2)); // an eighth is left for small requests
+    CHECK(counted(budget, LimitReason::Memory) == 1);
+    CHECK(budget.usedBytes() == 1200);
+    const ConnectionSlot small = openComplete(30);
+    CHECK(budget.holdForHandler(small, 90, 3));
+    CHECK(budget.answer(other, 10, 4)); // the refusal
+    budget.end(other, 5);
+    CHECK(budget.holdForHandler(large, 0, 6));
+    CHECK(budget.usedBytes() == 90);
+    budget.close(small, 7);
+    CHECK(budget.usedBytes() == 0);
+}
+
+// Guards against a body in progress that keeps a complete request out.
+TEST_CASE("bodies in progress are closed for the handler of a complete request")
+{
+    RequestBudget budget({.bytes = 1600});
+    const ConnectionSlot stalled = budget.open(0);
+    CHECK(budget.begin(stalled, 0));
+    CHECK(budget.receive(stalled, 1000, 0));
+    const ConnectionSlot complete = budget.open(0);
+    CHECK(budget.begin(complete, 0));
+    CHECK(budget.receive(complete, 300, 0));
+    CHECK(budget.complete(complete));
+    CHECK(budget.holdForHandler(complete, 900, 1));
+    CHECK(takeChosen(budget) == std::vector{stalled});
+    CHECK(budget.usedBytes() == 900);
+}
