Bound the payloads of jobs and of forwarded submissions

Callers saw: 300 valid jobs of 7.2 MB took an entry VM of 120 MB to 131 to 165 MB, 1,000 of 300 KB to 112 and 125 MB (16 I/O threads, arm64). Cause: the queue is bounded in tasks, not in bytes, and submissions on their way to the owner of their key by nothing; stored answers (256 MB) and two million remembered keys did not follow from the machine either.

Jobs and forwards now take their payloads from a quarter of memory_mb by the rule of the platform's jobs (JobMemory moves to the core); without room they are refused with queue_full before they are accepted. Limits on answers and keys are derived from memory_mb unless they are set.

--- a/packages/command/job_memory.cpp
+++ b/packages/command/job_memory.cpp
@@ -2,16 +2,10 @@
 
 #include "command/job.h"
 
-#include <cassert>
-
 namespace clementinelift::command {
 
 namespace {
 
-// A job takes at most a quarter of what is left: the limit on each queue follows the free memory, as the thresholds of
-// A. K. Choudhury and E. L. Hahne, "Dynamic queue length thresholds for shared-memory packet switches", IEEE/ACM
-// Transactions on Networking 6(2), 1998.
-constexpr std::size_t freeMemoryDivisor = 4;
 // Names of the backend server and the commander of a task that are too long for the string itself.
 constexpr std::size_t namesOfTask = 64;
 
@@ -34,19 +28,4 @@
     return bytes;
 }
 
-bool JobMemory::tryTake(std::size_t bytes)
-{
-    const std::size_t freeBytes = m_limitBytes - m_usedBytes;
-    if (bytes > freeBytes / freeMemoryDivisor)
-        return false;
-    m_usedBytes += bytes;
-    return true;
-}
-
-void JobMemory::release(std::size_t bytes)
-{
-    assert(bytes <= m_usedBytes);
-    m_usedBytes -= bytes;
-}
-
 } // namespace clementinelift::command
--- a/packages/command/job_memory.h
+++ b/packages/command/job_memory.h
@@ -1,35 +1,17 @@
-// Bounds the memory of the jobs and waiting requests of one entry VM.
-//
-// Answers callers that submit jobs of many tasks: 100 bytes of a request become megabytes that are kept until the
-// deadline. What does not fit is refused before it is built. A job may take only a share of what is left, so that a few
-// large jobs leave room for many small ones.
+// Memory that the jobs and waiting requests of one entry VM take from its JobMemory.
 #pragma once
 
 #include "command/events.h"
+#include "core/job_memory.h"
 
 #include <cstddef>
 
 namespace clementinelift::command {
 
+using core::JobMemory;
+
 // Bytes of a request, and of the job that it becomes.
 std::size_t memoryOf(const CallerRequest &request);
 std::size_t memoryOfJob(const JobRequest &request);
 
-class JobMemory
-{
-public:
-    explicit JobMemory(std::size_t limitBytes) : m_limitBytes(limitBytes) {}
-
-    // False when there is no room; nothing is taken then.
-    bool tryTake(std::size_t bytes);
-    void release(std::size_t bytes);
-
-    std::size_t usedBytes() const { return m_usedBytes; }
-    std::size_t limitBytes() const { return m_limitBytes; }
-
-private:
-    std::size_t m_limitBytes;
-    std::size_t m_usedBytes = 0;
-};
-
 } // namespace clementinelift::command
--- a/packages/config/settings.cpp
+++ b/packages/config/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "config/entries.h"
 #include "config/ini_reader.h"
+#include "core/job_memory.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -39,6 +40,11 @@
 // Reserved in a forwarded submission for everything besides the request body.
 constexpr std::uint64_t forwardOverheadBytes = 64 * kib;
 
+// The smallest memory for jobs, in bodies of the largest size.
+constexpr std::uint64_t jobsOfLargestBody = core::JobMemory::freeMemoryDivisor + 1;
+constexpr std::uint64_t keptDivisor = 8;  // share of the memory for answers, and for keys
+constexpr std::uint64_t bytesPerKey = 64; // in the dedupe table, which is at most half empty
+
 bool isName(std::string_view text)
 {
     const auto isAllowed = [](char c) {
@@ -171,6 +177,26 @@
     reader.finish();
 }
 
+// Derives the limits on what is kept for callers from the memory of the machine, unless they are given.
+void limitKeptBytes(SectionReader &reader, ProcessSettings &settings)
+{
+    core::CoreSettings &core = settings.core;
+    const std::uint64_t memory = settings.requests.memoryMb * mib;
+    if (settings.requests.jobMb > 0)
+        core.maxJobBytes = settings.requests.jobMb * mib;
+    else if (memory > 0)
+        core.maxJobBytes = memory / 4;
+    // One job takes a part of the memory for jobs, and a job within the limits of one request is always served.
+    core.maxJobBytes = std::max(core.maxJobBytes, jobsOfLargestBody * settings.maxBodyBytes);
+    if (memory == 0)
+        return;
+    if (!reader.findField("max_answer_bytes"))
+        core.maxAnswerBytes = std::min(core.maxAnswerBytes, std::max(memory / keptDivisor, std::uint64_t(mib)));
+    if (!reader.findField("max_remembered_keys"))
+        core.maxRememberedKeys = static_cast<std::uint32_t>(
+                std::min<std::uint64_t>(core.maxRememberedKeys, memory / keptDivisor / bytesPerKey));
+}
+
 void readLimits(SectionReader reader, ProcessSettings &settings)
 {
     core::CoreSettings &core = settings.core;
@@ -192,6 +218,7 @@
     reader.readNumber<std::uint32_t>("max_queued_tasks", core.maxQueuedTasks, 1, 10000000);
     reader.readNumber<std::uint32_t>("max_remembered_keys", core.maxRememberedKeys, 1, 100000000);
     reader.readNumber<std::uint64_t>("max_answer_bytes", core.maxAnswerBytes, mib, 64 * gib);
+    limitKeptBytes(reader, settings);
     reader.readNumber<std::uint32_t>("trace_jobs", core.traceJobs, 0, 1000000);
     reader.readNumber<std::uint32_t>("snapshot_every", core.snapshotEvery, 1, 1000000);
     const IniField *frame = reader.findField("max_frame_bytes");
--- a/packages/core/dispatcher.cpp
+++ b/packages/core/dispatcher.cpp
@@ -55,7 +55,8 @@
     : settings(givenSettings), config(settings.parseEntry),
       ownership(settings.dedupeHorizonMs, settings.maxProgressStepMs), planner(settings), membership(settings),
       scheduler(settings, config), dedupe(settings.maxRememberedKeys, settings.maxAnswerBytes),
-      traces(settings.traceJobs), random(settings.seed ^ raw(settings.self.incarnation)),
+      jobMemory(settings.maxJobBytes), traces(settings.traceJobs),
+      random(settings.seed ^ raw(settings.self.incarnation)),
       // Incarnations must use different request ids: a late result may reach the next incarnation of its receiver.
       nextRequest(raw(settings.self.incarnation) * requestIdMultiplier)
 {
@@ -282,6 +283,11 @@
     return m_state->scheduler;
 }
 
+std::size_t Dispatcher::jobBytes() const
+{
+    return m_state->jobMemory.usedBytes();
+}
+
 std::size_t Dispatcher::openJobs() const
 {
     return m_state->jobs.size();
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -58,6 +58,7 @@
     const OwnershipTable &ownership() const;
     const Membership &membership() const;
     const Scheduler &scheduler() const;
+    std::size_t jobBytes() const; // taken by jobs and forwarded submissions from CoreSettings::maxJobBytes
     std::size_t openJobs() const;
     std::size_t rememberedKeys() const;
     std::uint64_t answerBytes() const;
--- a/packages/core/dispatcher_attempts.cpp
+++ b/packages/core/dispatcher_attempts.cpp
@@ -314,6 +314,7 @@
         reply(step, waiter.requester, Answer(answer));
     dedupe.storeAnswer(job.organisation, job.key, std::move(answer));
     traces.add(job.organisation, job.key, std::move(job.trace));
+    jobMemory.release(job.memoryBytes);
     jobs.remove(job.id);
 }
 
--- a/packages/core/dispatcher_forwards.cpp
+++ b/packages/core/dispatcher_forwards.cpp
@@ -199,8 +199,14 @@
 // Submits a repeatable job whose key has no owner.
 void Dispatcher::State::forwardToSubstitute(Step &step, CallerId caller, bool wait, JobRequest &&request)
 {
+    const std::size_t bytes = memoryOf(request);
+    if (!jobMemory.tryTake(bytes)) {
+        refuse(step, Requester{.caller = caller}, request, Statement::AttemptNotRun, Reason::QueueFull);
+        return;
+    }
     const std::uint64_t requestId = nextRequest++;
     Forward newForward;
+    newForward.memoryBytes = bytes;
     newForward.caller = caller;
     newForward.wait = wait;
     newForward.mayRepeat = true;
@@ -234,6 +240,7 @@
 {
     const auto found = forwards.find(requestId);
     Forward forward = std::move(found->second);
+    jobMemory.release(forward.memoryBytes);
     forwards.erase(found);
     // The job runs even when its caller has disconnected, because its submission was not answered.
     const Requester requester{.caller = forward.hasCaller ? forward.caller : noCaller};
@@ -270,6 +277,7 @@
     assert(found != forwards.end());
     const CallerId caller = found->second.caller;
     const bool hasCaller = found->second.hasCaller;
+    jobMemory.release(found->second.memoryBytes);
     forwards.erase(found);
     if (hasCaller)
         reply(step, Requester{.caller = caller}, std::move(answer));
@@ -282,6 +290,7 @@
     const Forward &forward = forwards.find(requestId)->second;
     if (isSubmission(forward.kind) && forward.sentToTarget) {
         const Requester requester{.caller = forward.hasCaller ? forward.caller : noCaller};
+        jobMemory.release(forward.memoryBytes);
         forwards.erase(requestId);
         failOutcomeUnknown(step, requester);
         return;
--- a/packages/core/dispatcher_state.h
+++ b/packages/core/dispatcher_state.h
@@ -17,6 +17,7 @@
 
 #include "core/dedupe.h"
 #include "core/dispatcher.h"
+#include "core/job_memory.h"
 #include "core/jobs.h"
 
 #include <absl/container/flat_hash_set.h>
@@ -81,6 +82,7 @@
     std::string targetNode;
     std::string targetAddress;
     JobRequest request;
+    std::size_t memoryBytes = 0; // taken from the memory of all jobs
     std::int64_t waitMs = 0;
     std::int64_t deadlineUs = 0;
     std::int64_t answerByUs = 0;          // the deadline plus a margin, since the owner itself answers at the deadline
@@ -284,6 +286,7 @@
     Scheduler scheduler;
     DedupeTable dedupe;
     JobTable jobs;
+    JobMemory jobMemory; // of jobs and forwards
     TraceRing traces;
     TimerHeap timers;
     Counters counters;
--- a/packages/core/dispatcher_submissions.cpp
+++ b/packages/core/dispatcher_submissions.cpp
@@ -52,7 +52,13 @@
     } else if (owner.coverage == Coverage::Owned && !mayForward(step.now)) {
         refuse(step, requester, request, Statement::AttemptNotRun, Reason::Draining);
     } else if (owner.coverage == Coverage::Owned) {
+        const std::size_t bytes = memoryOf(request);
+        if (!jobMemory.tryTake(bytes)) {
+            refuse(step, requester, request, Statement::AttemptNotRun, Reason::QueueFull);
+            return;
+        }
         Forward newForward;
+        newForward.memoryBytes = bytes;
         newForward.kind = SubmitKind::Submit;
         newForward.caller = event.caller;
         newForward.wait = event.wait;
@@ -160,7 +166,7 @@
     refuse(step, requester, request, statement, reason);
 }
 
-// Moves from the request when it returns None, and leaves the request unchanged otherwise.
+// Moves from the request when it returns None, having taken its memory, and leaves the request unchanged otherwise.
 Reason Dispatcher::State::tryAccept(Step &step, const Requester &requester, bool wait, JobRequest &request, bool owned)
 {
     OrganisationId organisation{};
@@ -179,6 +185,8 @@
     const std::int64_t startUs = owned || reason != Reason::None ? 0 : ownerLeasesEndUs(request, step.now);
     if (reason == Reason::None && startUs >= step.now.monoUs + deadlineMsOf(request) * usPerMs)
         reason = Reason::OwnerGone;
+    if (reason == Reason::None && !jobMemory.tryTake(memoryOf(request)))
+        reason = Reason::QueueFull;
     if (reason == Reason::None)
         accept(step, requester, wait, std::move(request), organisation, templateId, startUs);
     return reason;
@@ -219,6 +227,7 @@
 {
     const std::int64_t deadlineMs = deadlineMsOf(request);
     Job &job = jobs.add();
+    job.memoryBytes = memoryOf(request);
     job.key = request.key;
     job.organisation = std::move(request.organisation);
     job.templateName = std::move(request.templateName);
--- a/packages/core/jobs.cpp
+++ b/packages/core/jobs.cpp
@@ -115,6 +115,14 @@
 
 // Jobs ----------------------------------------------------------------------------------------------
 
+std::size_t memoryOf(const JobRequest &request)
+{
+    std::size_t bytes = sizeof(Job) + request.organisation.size() + request.templateName.size();
+    for (const TaskRequest &task : request.tasks)
+        bytes += sizeof(TaskRequest) + sizeof(Task) + task.payload.size();
+    return bytes;
+}
+
 Job &JobTable::add()
 {
     if (m_free.empty()) {
--- a/packages/core/jobs.h
+++ b/packages/core/jobs.h
@@ -128,12 +128,16 @@
     std::uint32_t inProgress = 0;  // attempts
     std::uint32_t resolving = 0;   // attempts in progress whose outcome is not known
     std::int64_t deadlineUs = 0;   // monotonic
+    std::size_t memoryBytes = 0;   // taken from the memory of all jobs
     std::vector<TaskRequest> requests;
     std::vector<Task> tasks;
     absl::InlinedVector<Waiter, 1> waiters;
     Trace trace;
 };
 
+// Bytes that a job takes from JobMemory.
+std::size_t memoryOf(const JobRequest &request);
+
 // Open jobs. References stay valid until the job is removed.
 class JobTable
 {
--- a/packages/core/parameters.h
+++ b/packages/core/parameters.h
@@ -65,14 +65,15 @@
     std::uint64_t maxAnswerBytes = 256u << 20; // bytes of stored answers
     std::int64_t drainLingerMs = 2000;         // answers are served this long after the last job ended
 
-    std::uint32_t maxQueuedTasks = 20000;  // queue bound of this entry VM
-    std::int64_t probeIntervalMs = 500;    // duration of a membership round
-    std::int64_t suspectMs = 2000;         // a suspect entry VM is dead after this time
-    std::int64_t reportIntervalMs = 200;   // reports of free capacity and demand to peers
-    std::int64_t forwardTimeoutMs = 1000;  // a forward without an answer is sent again after this time
-    std::uint32_t snapshotEvery = 1000;    // config records between snapshots
-    std::int64_t logRetentionMs = 3600000; // records are kept at least this long
-    std::uint32_t traceJobs = 4096;        // jobs kept for explain
+    std::uint32_t maxQueuedTasks = 20000;   // queue bound of this entry VM
+    std::uint64_t maxJobBytes = 256u << 20; // of the jobs in progress and of the submissions that are forwarded
+    std::int64_t probeIntervalMs = 500;     // duration of a membership round
+    std::int64_t suspectMs = 2000;          // a suspect entry VM is dead after this time
+    std::int64_t reportIntervalMs = 200;    // reports of free capacity and demand to peers
+    std::int64_t forwardTimeoutMs = 1000;   // a forward without an answer is sent again after this time
+    std::uint32_t snapshotEvery = 1000;     // config records between snapshots
+    std::int64_t logRetentionMs = 3600000;  // records are kept at least this long
+    std::uint32_t traceJobs = 4096;         // jobs kept for explain
 };
 
 } // namespace clementinelift::core
--- a/packages/dispatcher/metrics.cpp
+++ b/packages/dispatcher/metrics.cpp
@@ -42,6 +42,8 @@
     addCounter(families, "tasks_dropped_total", "Tasks dropped before they started.",
                static_cast<double>(counters.tasksDropped));
     addGauge(families, "jobs_open", "Jobs in progress.", static_cast<double>(core.openJobs()));
+    addGauge(families, "job_memory_bytes", "Taken by jobs in progress and forwarded submissions.",
+             static_cast<double>(core.jobBytes()));
     addGauge(families, "keys_remembered", "Entries of the deduplication table.",
              static_cast<double>(core.rememberedKeys()));
     addGauge(families, "answer_bytes", "Bytes of stored answers.", static_cast<double>(core.answerBytes()));
--- a/tests/unit/config/settings_test.cpp
+++ b/tests/unit/config/settings_test.cpp
@@ -84,6 +84,34 @@
     CHECK(settings->entryVms.at(0).address == "127.0.0.1:7001");
 }
 
+// Guards against what is kept for callers beyond the memory of a small machine.
+TEST_CASE("limits on what is kept for callers follow from the memory")
+{
+    constexpr std::uint64_t mib = 1u << 20;
+    const auto unknown = parseSettings("s.ini", required);
+    REQUIRE(unknown);
+    CHECK(unknown->core.maxJobBytes == 256 * mib);
+    CHECK(unknown->core.maxAnswerBytes == 256 * mib);
+    CHECK(unknown->core.maxRememberedKeys == 2000000);
+    const auto derived = parseSettings("s.ini", required + std::string("\n[limits]\nmemory_mb = 400\n"));
+    REQUIRE(derived);
+    CHECK(derived->core.maxJobBytes == 100 * mib);
+    CHECK(derived->core.maxAnswerBytes == 50 * mib);
+    CHECK(derived->core.maxRememberedKeys == 819200);
+    const auto given = parseSettings("s.ini",
+                                     required
+                                             + std::string("\n[limits]\nmemory_mb = 400\njob_memory_mb = 60\n"
+                                                           "max_answer_bytes = 1048577\nmax_remembered_keys = 8\n"));
+    REQUIRE(given);
+    CHECK(given->core.maxJobBytes == 60 * mib);
+    CHECK(given->core.maxAnswerBytes == 1048577);
+    CHECK(given->core.maxRememberedKeys == 8);
+    // A job in the largest body fits a quarter of the memory for jobs.
+    const auto small = parseSettings("s.ini", required + std::string("\n[limits]\nmemory_mb = 120\n"));
+    REQUIRE(small);
+    CHECK(small->core.maxJobBytes == 5 * small->maxBodyBytes);
+}
+
 // Guards against a process that starts without its name, addresses, peer secret or platform URLs.
 TEST_CASE("missing required settings are all reported")
 {
--- a/tests/unit/core/dispatcher_test.cpp
+++ b/tests/unit/core/dispatcher_test.cpp
@@ -112,6 +112,29 @@
     CHECK(cluster.starts.size() == 1);
 }
 
+// Guards against payloads that exhaust the memory, in jobs and in submissions that are forwarded to their owner.
+TEST_CASE("jobs and forwarded submissions stay within the memory for jobs")
+{
+    CoreSettings settings;
+    settings.maxJobBytes = 64u << 10;
+    Cluster cluster(2, settings);
+    for (const std::size_t owner : {0, 1}) {
+        std::vector<CallerId> callers;
+        for (int i = 0; i < 200; ++i)
+            callers.push_back(cluster.submit(0, cluster.keyOwnedBy(owner), "once", 20));
+        const Answer &refused = cluster.answer(callers.back());
+        CHECK(refused.kind == AnswerKind::Refused);
+        CHECK(refused.reason == Reason::QueueFull);
+        for (const std::size_t node : {0, 1})
+            CHECK(cluster.core(node).jobBytes() <= settings.maxJobBytes);
+    }
+    cluster.advance(60000);
+    for (const std::size_t node : {0, 1})
+        CHECK(cluster.core(node).jobBytes() == 0);
+    const CallerId later = cluster.submit(0, cluster.keyOwnedBy(0), "once", 20);
+    CHECK(cluster.answerCount(later) == 0); // accepted
+}
+
 // Guards the memory bound: started keys are never evicted inside the horizon.
 TEST_CASE("a full dedupe table refuses new keys and keeps the old ones")
 {
