Choose ports for the stand-ins that no other process uses

hostile_platform_metrics had failed once before its crowd: 'entry VM a1 is not ready'. Cause: the 25 consecutive ports of the stand-ins were chosen without a check, so beside other tests the store's port could belong to another process, and a port that was chosen for metrics but not yet in use could be chosen again.

--- a/tests/process/cluster.sh
+++ b/tests/process/cluster.sh
@@ -30,6 +30,7 @@
     while [ "$count" -gt 0 ]; do
         port=$((10000 + (RANDOM * 32768 + RANDOM) % 22000))
         [ $((port / 25 * 25)) != "${reserved_block:-0}" ] || continue # 25 ports of the stand-ins
+        [ "$port" != "${metrics_port:-0}" ] || continue               # not in use yet
         if ! (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
             echo "$port"
             count=$((count - 1))
