Cut log lines to 2 KiB

The output queue holds 2,000 lines and its memory was bounded on the assumption of 300 bytes a line, but a request for an unknown route is logged with its Host header, which may have 16 KB: up to 32 MB while the output is blocked. Found by reading; no run has shown it.

--- a/packages/dispatcher/logging.cpp
+++ b/packages/dispatcher/logging.cpp
@@ -33,6 +33,7 @@
 constexpr auto repeatWindow = std::chrono::seconds(1);
 
 constexpr std::size_t outputQueueLines = 2000; // about 600 KB
+constexpr std::size_t maxLineBytes = 2048;     // texts of callers have up to 16 KB
 
 using OutputSink = boost::log::sinks::asynchronous_sink<
         boost::log::sinks::text_ostream_backend,
@@ -156,7 +157,7 @@
     const auto dropped = limit.admit(part, text);
     if (!dropped)
         return;
-    std::string line = replaceControlCharacters(text);
+    std::string line = replaceControlCharacters(text.substr(0, maxLineBytes));
     if (*dropped > 0)
         line += " repeats_dropped=" + std::to_string(*dropped);
     boost::log::sources::severity_channel_logger<boost::log::trivial::severity_level> logger(
