Book no capacity for jobs that are refused for memory

Callers would see: beside a crowd of wide jobs that are refused for memory, each refusal booked the time of 10,000 tasks, so ordinary jobs that find no room were told to return after up to 10 s. Found by reading. A job that does not fit the memory now gets Retry-After 2 and books nothing. Fifteen cases of unit_command on memory, limits and drains pass.

--- a/packages/command/fleet_coordination.cpp
+++ b/packages/command/fleet_coordination.cpp
@@ -252,7 +252,7 @@
     if (m_jobMemory.tryTake(bytes))
         m_queuedRequests.push_back({std::move(request), m_now, bytes});
     else
-        refuseForMemory(request.caller, job, bytes, usPerS);
+        refuseForMemory(request.caller, job, bytes);
 }
 
 void FleetDispatcher::eraseForwarded(std::uint64_t sequence)
--- a/packages/command/fleet_dispatcher.cpp
+++ b/packages/command/fleet_dispatcher.cpp
@@ -36,6 +36,8 @@
 constexpr std::size_t idLength = 16;
 // Reason of a request that does not fit the memory for jobs.
 constexpr std::string_view noMemory = "no_memory";
+// Books no capacity: a crowd of wide jobs would delay the callers that are refused for lack of it.
+constexpr TimeUs noMemoryRetryAfterUs = 2 * usPerS;
 constexpr double percent = 100;
 
 bool isJobId(std::string_view text)
@@ -498,7 +500,7 @@
     }
     job.memoryBytes = memoryOfJob(wanted);
     if (!m_jobMemory.tryTake(job.memoryBytes)) {
-        refuseForMemory(request.caller, id, job.memoryBytes, retryAfter(id, step.count));
+        refuseForMemory(request.caller, id, job.memoryBytes);
         return;
     }
     job.tasks.resize(step.count);
@@ -559,7 +561,7 @@
 }
 
 // An answer that denies runs would be wrong for a job of which an earlier submission may have run.
-void FleetDispatcher::refuseForMemory(CallerId caller, std::string_view id, std::size_t bytes, TimeUs retryAfterUs)
+void FleetDispatcher::refuseForMemory(CallerId caller, std::string_view id, std::size_t bytes)
 {
     const bool isGivenUp = mayHaveRun(id);
     ++(isGivenUp ? m_counters.givenUp : m_counters.refused);
@@ -568,7 +570,7 @@
             concat(isGivenUp ? "job given up job=" : "job refused job=", id, " reason=", noMemory, " bytes=", bytes,
                    " used_bytes=", m_jobMemory.usedBytes(), " limit_bytes=", m_jobMemory.limitBytes(),
                    " jobs=", m_jobs.size()));
-    answer(caller, isGivenUp ? AnswerKind::GivenUp : AnswerKind::Refused, noMemory, retryAfterUs);
+    answer(caller, isGivenUp ? AnswerKind::GivenUp : AnswerKind::Refused, noMemory, noMemoryRetryAfterUs);
 }
 
 // The oldest entry goes first: ids increase in about the order in which requests are handled.
--- a/packages/command/fleet_dispatcher.h
+++ b/packages/command/fleet_dispatcher.h
@@ -264,7 +264,7 @@
     void send(AnswerCaller &&answer);
     void refuse(CallerId caller, std::string_view id, std::string_view reason, TimeUs retryAfterUs);
     bool mayHaveRun(std::string_view id) const;
-    void refuseForMemory(CallerId caller, std::string_view id, std::size_t bytes, TimeUs retryAfterUs);
+    void refuseForMemory(CallerId caller, std::string_view id, std::size_t bytes);
     bool isRegistryIncomplete(std::string_view service) const;
     bool endsAfterDrain(const CallerRequest &request, const Route &route) const;
     std::string_view findUnservable(const JobRequest &request, const Route &route) const;
@@ -282,7 +282,7 @@
     void handOverShards();
     void removeLapsedServers();
     double endsPerS() const;
-    TimeUs retryAfter(std::string_view refused, std::size_t taskCount);
+    TimeUs retryAfter(const Job &refused);
 
     // Placing
     void dispatch();
--- a/packages/command/fleet_placing.cpp
+++ b/packages/command/fleet_placing.cpp
@@ -586,7 +586,7 @@
     }
     for (const std::string &id : withoutRoom) {
         Job &job = m_jobs.find(id)->second;
-        refuseJob(job, "no_room_forecast", retryAfter(id, job.tasks.size()));
+        refuseJob(job, "no_room_forecast", retryAfter(job));
     }
     for (const std::string &id : evacuated)
         endEvacuatedJob(m_jobs.find(id)->second);
@@ -594,7 +594,7 @@
         giveUpJob(m_jobs.find(id)->second, "no_room_in_time");
     for (const std::string &id : hopeless) {
         Job &job = m_jobs.find(id)->second;
-        refuseJob(job, "no_room_in_time", retryAfter(id, job.tasks.size()));
+        refuseJob(job, "no_room_in_time", retryAfter(job));
     }
 }
 
@@ -608,12 +608,12 @@
 }
 
 // When the caller of a refused job is asked to submit it again.
-TimeUs FleetDispatcher::retryAfter(std::string_view refused, std::size_t taskCount)
+TimeUs FleetDispatcher::retryAfter(const Job &refused)
 {
     std::size_t waitingCount = 0;
     for (const auto &[id, job] : m_jobs)
-        waitingCount += id == refused ? 0 : job.waiting;
-    return m_retryPlanner.book(m_now, taskCount, waitingCount, endsPerS());
+        waitingCount += id == refused.id ? 0 : job.waiting;
+    return m_retryPlanner.book(m_now, refused.tasks.size(), waitingCount, endsPerS());
 }
 
 void FleetDispatcher::checkRunning()
@@ -654,7 +654,7 @@
         if (job.mayHaveRun || job.placed > 0)
             giveUpJob(job, "time_is_over");
         else
-            refuseJob(job, "no_room_in_time", retryAfter(id, job.tasks.size()));
+            refuseJob(job, "no_room_in_time", retryAfter(job));
     }
 }
 
