--- a/packages/config/settings.cpp
+++ b/packages/config/settings.cpp
@@ -185,7 +185,7 @@
     if (settings.requests.jobMb > 0)
         core.maxJobBytes = settings.requests.jobMb * mib;
     else if (memory > 0)
-        core.maxJobBytes = memory / 4;
+        core.maxJobBytes = memory / net::jobMemoryDivisor;
     // One job takes a part of the memory for jobs, and a job within the limits of one request is always served.
     core.maxJobBytes = std::max(core.maxJobBytes, jobsOfLargestBody * settings.maxBodyBytes);
     if (memory == 0)
--- a/packages/dispatcher/request_limits.cpp
+++ b/packages/dispatcher/request_limits.cpp
@@ -63,7 +63,7 @@
 void limitJobs(command::FleetSettings &fleet, const net::RequestSettings &settings)
 {
     const std::size_t memory = (settings.memoryMb > 0 ? settings.memoryMb : unknownMemoryMb) * bytesPerMb;
-    fleet.jobBytes = net::deriveJobBytes(memory, settings.jobMb * bytesPerMb);
+    fleet.jobBytes = settings.jobMb > 0 ? settings.jobMb * bytesPerMb : memory / net::jobMemoryDivisor;
     fleet.maxStarts = std::max(memory / orderMemoryDivisor / bytesPerStart, minStarts);
     fleet.maxRuns = memory / orderMemoryDivisor / bytesPerRun;
 }
--- a/packages/net/request_budget.cpp
+++ b/packages/net/request_budget.cpp
@@ -10,13 +10,15 @@
 // An answer that fits into the buffer of the kernel leaves within one turn of the I/O thread. It stays longer only if
 // the client has filled that buffer with answers that it does not read.
 constexpr std::int64_t blockedAnswerMs = 200;
+// Shares of the budget: a request that takes more than the first is large, the second is left for small ones.
+constexpr std::size_t largeRequestDivisor = 16;
+constexpr std::size_t smallRequestDivisor = 8;
 constexpr std::size_t minProbeConnections = 16; // load balancers and monitoring of a small machine
 
 // The rest of the process needs the other part of the memory: jobs, links to peers and backend servers, code.
 constexpr std::size_t callerMemoryShare = 3;
 constexpr std::size_t probeMemoryDivisor = 8; // of the callers' share
 constexpr std::size_t memoryShares = 8;
-constexpr std::size_t jobMemoryShare = 2;
 constexpr unsigned callerFdDivisor = 2; // the other half is for backend servers, peers and the store
 constexpr unsigned probeFdDivisor = 16;
 
@@ -44,11 +46,6 @@
     return limitConnections(bytes, connectionBytes, std::min(maxConnections, maxFds / probeFdDivisor));
 }
 
-std::size_t deriveJobBytes(std::size_t memoryBytes, std::size_t jobBytes)
-{
-    return jobBytes > 0 ? jobBytes : memoryBytes / memoryShares * jobMemoryShare;
-}
-
 ConnectionSlot RequestBudget::open(std::int64_t nowMs)
 {
     if (m_free.empty()) {
@@ -120,15 +117,18 @@
     return true;
 }
 
-// Requests that take a large part of the budget leave an eighth of it for small ones.
 bool RequestBudget::holdForHandler(ConnectionSlot slot, std::size_t bytes, std::int64_t nowMs)
 {
     Connection &connection = at(slot);
     hold(connection, bytes);
-    const std::size_t limit = bytes > m_limits.bytes / 16 ? m_limits.bytes - m_limits.bytes / 8 : m_limits.bytes;
+    if (bytes == 0)
+        return true;
+    // Large requests leave a part of the budget for small ones.
+    const bool isLarge = bytes > m_limits.bytes / largeRequestDivisor;
+    const std::size_t limit = m_limits.bytes - (isLarge ? m_limits.bytes / smallRequestDivisor : 0);
     if (m_usedBytes > limit)
         makeRoom(nowMs);
-    if (bytes == 0 || m_usedBytes <= limit)
+    if (m_usedBytes <= limit)
         return true;
     hold(connection, 0);
     count(LimitReason::Memory);
--- a/packages/net/request_budget.h
+++ b/packages/net/request_budget.h
@@ -76,8 +76,8 @@
 RequestShare deriveProbeShare(std::size_t memoryBytes, unsigned maxFds, std::size_t connectionBytes,
                               unsigned maxConnections);
 
-// Memory for the jobs of callers. jobBytes replaces the share of the memory if it is not 0.
-std::size_t deriveJobBytes(std::size_t memoryBytes, std::size_t jobBytes);
+// Share of the memory for the jobs of callers.
+constexpr std::size_t jobMemoryDivisor = 4;
 
 // RequestBudget -------------------------------------------------------------------------------------
 
--- a/tests/hostile/crowd.sh
+++ b/tests/hostile/crowd.sh
@@ -65,7 +65,8 @@
 }
 
 # hold_crowd CROWD (PORT PROCESS)...: sends the crowd to each port, checks the bounds of each process while the crowd is in
-# place, then runs ordinary_request, which must succeed while the crowd is still there and once it has gone and sets answer otherwise.
+# place, then runs ordinary_request, which must succeed while the crowd is still there and once it has gone. If it fails, it
+# sets answer for the message.
 hold_crowd()
 {
     local crowd=$1 arguments ports=() names=() i name pid files peak_kb failures=() clients=()
