--- a/tests/unit/core/dispatcher_test.cpp
+++ b/tests/unit/core/dispatcher_test.cpp
@@ -119,10 +119,10 @@
     settings.maxJobBytes = 64u << 10;
     Cluster cluster(2, settings);
     for (const std::size_t owner : {0, 1}) {
-        std::vector<CallerId> callers;
+        CallerId last{};
         for (int i = 0; i < 200; ++i)
-            callers.push_back(cluster.submit(0, cluster.keyOwnedBy(owner), "once", 20));
-        const Answer &refused = cluster.answer(callers.back());
+            last = cluster.submit(0, cluster.keyOwnedBy(owner), "once", 20);
+        const Answer &refused = cluster.answer(last);
         CHECK(refused.kind == AnswerKind::Refused);
         CHECK(refused.reason == Reason::QueueFull);
         for (const std::size_t node : {0, 1})
