--- a/review/standins-3/http.h
+++ b/review/standins-3/http.h
@@ -39,6 +39,7 @@
     int status = 200;
     std::string body = "{}";
     bool isDropped = false; // the connection is closed without an answer
+    bool isSilent = false;  // the connection stays open without an answer
 };
 
 inline sockaddr_in socketAddress(const std::string &address)
@@ -146,6 +147,9 @@
             shutdown(connection, SHUT_RDWR);
     }
 
+    // As a loss of power: open connections fall silent, and are reset when more arrives on them after the return.
+    void loseConnections() { ++m_life; }
+
 private:
     void accept()
     {
@@ -166,12 +170,16 @@
 
     void serve(int connection)
     {
+        const int life = m_life;
         std::string buffer;
         std::string head;
         std::string body;
-        while (!m_stopping && readMessage(connection, buffer, head, body, Clock::now() + std::chrono::hours(1))) {
+        while (!m_stopping && readMessage(connection, buffer, head, body, Clock::now() + std::chrono::hours(1))
+               && life == m_life) {
             const Response response = m_handler(parse(head, body));
-            if (m_stopping || response.isDropped)
+            if (response.isSilent || life != m_life)
+                waitForClose(connection);
+            if (m_stopping || response.isDropped || response.isSilent || life != m_life)
                 break;
             if (!sendAll(connection,
                          "HTTP/1.1 " + std::to_string(response.status)
@@ -189,6 +197,13 @@
         --m_active;
     }
 
+    void waitForClose(int connection) const
+    {
+        pollfd waited{connection, POLLIN | POLLRDHUP, 0};
+        while (!m_stopping && poll(&waited, 1, 20) <= 0)
+            continue;
+    }
+
     static Request parse(const std::string &head, const std::string &body)
     {
         Request request;
@@ -224,6 +239,7 @@
     int m_listener = -1;
     std::atomic<bool> m_stopping = false;
     std::atomic<int> m_active = 0;
+    std::atomic<int> m_life = 0;
     std::thread m_acceptor;
     std::mutex m_mutex;
     std::set<int> m_connections;
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -60,7 +60,6 @@
     std::int64_t memMb = 64;
     std::int64_t taskMs = 200;
     int count = 1;
-    bool isReadable = true;
 };
 
 // What the clients have submitted, and what runs.
@@ -84,34 +83,16 @@
     {
         const std::lock_guard lock(m_mutex);
         ++m_starts;
-        const std::string job = task.substr(0, task.find('.'));
-        ++m_startsOfJob[job];
-        m_firstStarts.try_emplace(job, m_record.ms());
+        ++m_startsOfJob[task.substr(0, task.find('.'))];
         if (++m_active[task] > 1) {
             ++m_overlaps;
             m_record.line("BROKEN TWICE task=%s runs=%d minion=%s", task.c_str(), m_active[task], minion.c_str());
         }
     }
-    void end(const std::string &task, bool isDone)
+    void end(const std::string &task)
     {
         const std::lock_guard lock(m_mutex);
         --m_active[task];
-        if (isDone)
-            ++m_doneRuns[task];
-    }
-    int activeOf(const std::string &job) const
-    {
-        const std::lock_guard lock(m_mutex);
-        int count = 0;
-        for (auto it = m_active.lower_bound(job); it != m_active.end() && it->first.starts_with(job); ++it)
-            count += it->second;
-        return count;
-    }
-    std::optional<double> firstStartOf(const std::string &job) const
-    {
-        const std::lock_guard lock(m_mutex);
-        const auto found = m_firstStarts.find(job);
-        return found == m_firstStarts.end() ? std::nullopt : std::optional(found->second);
     }
     int startsOf(const std::string &job) const
     {
@@ -119,14 +100,6 @@
         const auto found = m_startsOfJob.find(job);
         return found == m_startsOfJob.end() ? 0 : found->second;
     }
-    int doneTasksOf(const std::string &job) const
-    {
-        const std::lock_guard lock(m_mutex);
-        int count = 0;
-        for (auto it = m_doneRuns.lower_bound(job); it != m_doneRuns.end() && it->first.starts_with(job); ++it)
-            ++count;
-        return count;
-    }
     int starts() const { return m_starts; }
     int overlaps() const { return m_overlaps; }
 
@@ -136,8 +109,6 @@
     std::map<std::string, JobSpec> m_jobs;
     std::map<std::string, int> m_active;
     std::map<std::string, int> m_startsOfJob;
-    std::map<std::string, double> m_firstStarts;
-    std::map<std::string, int> m_doneRuns;
     std::atomic<int> m_starts = 0;
     std::atomic<int> m_overlaps = 0;
 };
@@ -153,17 +124,9 @@
     {
         return m_server.start(address, [this](const Request &request) { return handle(request); });
     }
-    // A further address of the store, for a machine that is partitioned from it while the gate is closed: its
-    // connections are reset and refused.
-    bool openGate(const std::string &address)
-    {
-        return m_gate.start(address, [this](const Request &request) { return handle(request); });
-    }
-    void closeGate() { m_gate.stop(); }
     void stop()
     {
         m_stopping = true;
-        m_gate.stop();
         m_server.stop();
     }
     void put(const std::string &topic, const std::string &key, const std::string &value)
@@ -171,14 +134,6 @@
         const std::lock_guard lock(m_mutex);
         m_topics[topic].push_back({key, value});
     }
-    std::string newest(const std::string &topic, const std::string &key)
-    {
-        const std::lock_guard lock(m_mutex);
-        std::string value;
-        for (const auto &entry : m_topics[topic])
-            value = entry.first == key ? entry.second : value;
-        return value;
-    }
 
 private:
     struct Member
@@ -346,7 +301,6 @@
     std::map<std::string, Records> m_topics;
     std::map<std::string, Group> m_groups;
     std::atomic<bool> m_stopping = false;
-    HttpServer m_gate;
     HttpServer m_server;
 };
 
@@ -378,7 +332,7 @@
     }
 
     // The registry entry is written before the first order can be accepted.
-    bool begin(const MinionKind &kind)
+    bool begin(const MinionKind &kind, bool listens = true)
     {
         {
             const std::lock_guard lock(m_mutex);
@@ -405,24 +359,28 @@
                     std::this_thread::sleep_for(Ms(2));
                 }
             });
-        return m_server.start(m_address, [this](const Request &request) { return handle(request); });
+        return !listens || m_server.start(m_address, [this](const Request &request) { return handle(request); });
+    }
+    // The machine has no power; begin() without listening brings it back.
+    void losePower()
+    {
+        m_server.loseConnections();
+        endLife("loses power");
     }
     void crash()
     {
-        {
-            const std::lock_guard lock(m_mutex);
-            if (!m_up)
-                return;
-            m_up = false;
-            m_record.line("minion %s crashes runs=%zu", m_id.c_str(), m_runs.size());
-            for (const auto &[task, run] : m_runs)
-                m_ledger.end(task, false);
-            m_runs.clear();
-        }
-        m_server.stop();
+        if (endLife("crashes"))
+            m_server.stop();
+    }
+    // The next start of a task of the job gets no answer and is carried out later.
+    void delayStart(const std::string &job, std::int64_t delayMs)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_delayedJob = job;
+        m_delayMs = delayMs;
     }
-    // From now on this share of the orders gets no answer and is carried out 2 to 12 s later.
-    void setLateShare(double share) { m_lateShare = share; }
+    int orders() const { return m_orders; }
+    bool hasDelayedStart() const { return m_hasDelayedStart; }
     const std::string &id() const { return m_id; }
     int overloads() const { return m_overloads; }
     int starts() const { return m_starts; }
@@ -433,6 +391,19 @@
     }
 
 private:
+    bool endLife(const char *how)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_up)
+            return false;
+        m_up = false;
+        m_record.line("minion %s %s runs=%zu", m_id.c_str(), how, m_runs.size());
+        for (const auto &[task, run] : m_runs)
+            m_ledger.end(task);
+        m_runs.clear();
+        return true;
+    }
+
     struct Run
     {
         std::uint32_t number = 0;
@@ -491,14 +462,17 @@
         const auto named = request.headers.find("x-clementinelift-expected-instance");
         if (named != request.headers.end() && named->second != m_id)
             return {421, "{}"};
-        Json body = Json::parse(request.body);
-        if (isLate()) {
+        const Json body = Json::parse(request.body);
+        ++m_orders;
+        if (request.path == "/-/run-start" && takeDelay(body)) {
             const std::int64_t born = bornMs();
-            std::this_thread::sleep_for(Ms(2000 + randomBelow(10000)));
-            body.erase("waitMs");
-            if (born == bornMs()) // orders end with the life that got them
-                carryOut(request.path, body);
-            return {0, "", true};
+            std::this_thread::sleep_for(Ms(m_delayMs));
+            if (born == bornMs()) {
+                m_record.line("minion %s carries out the late start of task=%s", m_id.c_str(),
+                              body.at("task").get<std::string>().c_str());
+                start(body);
+            }
+            return {0, "", false, true};
         }
         return carryOut(request.path, body);
     }
@@ -512,12 +486,17 @@
             return hold(body);
         return {404, "{}"};
     }
-    std::uint64_t randomBelow(std::uint64_t limit)
+    bool takeDelay(const Json &body)
     {
         const std::lock_guard lock(m_mutex);
-        return m_random() % limit;
+        if (m_delayedJob.empty() || !body.at("task").get<std::string>().starts_with(m_delayedJob))
+            return false;
+        m_delayedJob.clear();
+        m_hasDelayedStart = true;
+        m_record.line("minion %s leaves the start unanswered task=%s", m_id.c_str(),
+                      body.at("task").get<std::string>().c_str());
+        return true;
     }
-    bool isLate() { return m_lateShare > 0 && static_cast<double>(randomBelow(100000)) < 100000 * m_lateShare; }
     std::int64_t bornMs() const
     {
         const std::lock_guard lock(m_mutex);
@@ -527,7 +506,7 @@
     {
         const std::lock_guard lock(m_mutex);
         if (!m_up)
-            return {0, "", true};
+            return {0, "", false, true};
         if (isFenced(body))
             return reject("fence");
         const std::string task = body.at("task");
@@ -570,7 +549,7 @@
     {
         const std::lock_guard lock(m_mutex);
         if (!m_up)
-            return {0, "", true};
+            return {0, "", false, true};
         if (isFenced(body))
             return reject("fence");
         const std::string task = body.at("task");
@@ -590,7 +569,7 @@
             {
                 const std::lock_guard lock(m_mutex);
                 if (!m_up || (!isFirst && born != m_bornMs))
-                    return {0, "", true};
+                    return {0, "", false, true};
                 born = m_bornMs;
                 if (isFirst) {
                     if (isFenced(body))
@@ -624,7 +603,7 @@
         std::uint32_t &through = m_through[task];
         through = std::max(through, run.number);
         m_ends.push_back({++m_lastEnd, task, run.number, how});
-        m_ledger.end(task, std::string(how) == "done");
+        m_ledger.end(task);
         m_record.line("minion %s ends task=%s run=%u how=%s", m_id.c_str(), task.c_str(), run.number, how);
     }
     void tick()
@@ -672,8 +651,10 @@
     std::int64_t m_token = 0;
     std::int64_t m_leaseEndMs = 0;
     bool m_up = false;
-    std::mt19937_64 m_random{std::random_device()()};
-    std::atomic<double> m_lateShare = 0;
+    std::string m_delayedJob;
+    std::atomic<std::int64_t> m_delayMs = 0;
+    std::atomic<bool> m_hasDelayedStart = false;
+    std::atomic<int> m_orders = 0;
     std::atomic<int> m_overloads = 0;
     std::atomic<int> m_starts = 0;
     std::atomic<bool> m_quit = false;
@@ -723,13 +704,6 @@
         m_process = 0;
         return status;
     }
-    bool hasEnded(int &status)
-    {
-        if (m_process <= 0 || waitpid(m_process, &status, WNOHANG) != m_process)
-            return m_process <= 0;
-        m_process = 0;
-        return true;
-    }
     bool isReady() const { return send(m_ip + ":8167", "GET", "/-/ready", "Host: x\r\n", "", 500).status == 200; }
     bool waitUntilReady(std::int64_t limitMs) const
     {
