--- a/review/standins-3/late_start_unknown.cpp
+++ b/review/late_start_unknown_3.cpp
@@ -3,7 +3,7 @@
 // another zone.
 //
 // Usage: late-start-unknown FOLDER TROUBLE pause|kill [SEED]. Exit status: 0 rule held, 1 broken, 2 could not run.
-#include "world.h"
+#include "world_3.h"
 
 #include <numeric>
 
--- a/review/standins-3/reborn_kind.cpp
+++ b/review/reborn_kind_3.cpp
@@ -2,7 +2,7 @@
 // overload, so the system alone keeps a minion within its capacity.
 //
 // Usage: reborn-kind FOLDER TROUBLE [SEED]. Exit status: 0 rule held, 1 broken, 2 could not run.
-#include "world.h"
+#include "world_3.h"
 
 #include <optional>
 
--- a/review/standins-3/world.h
+++ b/review/world_3.h
@@ -1,7 +1,7 @@
 // Stand-ins for the platform: its store, minions and clients, with a log of what was sent, answered and run.
 #pragma once
 
-#include "http.h"
+#include "http_3.h"
 
 #include <nlohmann/json.hpp>
 
