Send no request after its timeout, also after a suspension

Callers saw two runs of a task: starts that were inside a paused entry VM arrived at their backend server when it went on, 3.6 s after they had been given, while their job ran elsewhere.

Cause: the timeout of a request was measured by libcurl, from the moment that its thread takes the request, by a clock that does not count a suspension, and it looks at timeouts only after it has handled the sockets.

Change: the client notes by CLOCK_BOOTTIME until when a request may be sent, and looks at it in the callback before the first byte. Later the request ends as NotSent, which the callers of the client already handle.

--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -11,6 +11,7 @@
 #include <cassert>
 #include <cerrno>
 #include <chrono>
+#include <ctime>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -24,6 +25,14 @@
 constexpr int eventsPerWait = 256;
 constexpr std::size_t maxPooledHandles = 256; // unused easy handles kept for reuse
 
+// Of the clock that goes on while the machine is suspended, unlike the clock by which libcurl measures timeouts.
+std::int64_t bootTimeMs()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return std::int64_t(now.tv_sec) * 1000 + now.tv_nsec / 1'000'000;
+}
+
 // One request in progress; owned by its easy handle until the request ends.
 struct Transfer
 {
@@ -33,7 +42,8 @@
     HttpResult result;
     curl_slist *headerList = nullptr;
     std::size_t maxAnswerBytes = 0;
-    int sends = 0; // how often sending began on an established connection
+    std::int64_t sendByMs = 0; // boot time
+    int sends = 0;             // how often sending began on an established connection
     std::array<char, CURL_ERROR_SIZE> error{};
 
     Transfer() = default;
@@ -49,6 +59,9 @@
     auto &transfer = *static_cast<Transfer *>(data);
     if (transfer.sends > 0 && !transfer.request.repeatable)
         return CURL_PREREQFUNC_ABORT;
+    // After a pause of the process, waiting requests continue before libcurl looks at their timeouts.
+    if (bootTimeMs() > transfer.sendByMs)
+        return CURL_PREREQFUNC_ABORT;
     ++transfer.sends;
     return CURL_PREREQFUNC_OK;
 }
@@ -389,6 +402,7 @@
 HttpRequestId HttpClient::send(HttpClientRequest &&request, Done &&done)
 {
     auto transfer = std::make_unique<Transfer>();
+    transfer->sendByMs = bootTimeMs() + std::max<std::int64_t>(request.delayMs, 0) + request.timeoutMs;
     transfer->request = std::move(request);
     transfer->done = std::move(done);
     HttpRequestId id{};
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -31,7 +31,7 @@
     std::string url; // scheme http only
     std::string body = {};
     HttpFields headers = {};
-    std::int64_t timeoutMs = 5000; // includes the wait for a connection
+    std::int64_t timeoutMs = 5000; // includes the wait for a connection; not sent after it, even after a suspension
     std::int64_t delayMs = 0;      // delay before sending; timeoutMs starts after the delay
     bool repeatable = false;       // may be sent again when a reused connection turns out to be closed
     bool newConnection = false;    // sent on a connection that was not used before
--- a/tests/unit/net/http_test.cpp
+++ b/tests/unit/net/http_test.cpp
@@ -399,6 +399,32 @@
     CHECK(ends == 1);
 }
 
+// Guards against orders that were given before a pause of the process and are sent after it, when others rely on them
+// having timed out.
+TEST_CASE("a request that waited longer than its timeout is not sent")
+{
+    HttpServer *raw = nullptr;
+    std::atomic<int> handled = 0;
+    auto server = HttpServer::start({}, [&](HttpCall call, HttpRequest &&) {
+        ++handled;
+        raw->answer(call, {200, ""});
+    });
+    REQUIRE(server);
+    raw = server->get();
+    HttpClient client({});
+    const std::string url = makeUrl(raw->port(), "/");
+    const bool isConnected = GENERATE(true, false);
+    if (isConnected)
+        REQUIRE(exchange(client, {.url = url}).status == 200);
+    const int before = handled;
+    client.post([] { std::this_thread::sleep_for(std::chrono::milliseconds(300)); });
+    CHECK(exchange(client, {.url = url, .timeoutMs = 100}).outcome == HttpOutcome::NotSent);
+    client.post([] { std::this_thread::sleep_for(std::chrono::milliseconds(300)); });
+    CHECK(exchange(client, {.url = url, .timeoutMs = 100, .delayMs = 50}).outcome == HttpOutcome::NotSent);
+    CHECK(handled == before);
+    CHECK(exchange(client, {.url = url, .timeoutMs = 1000}).status == 200);
+}
+
 // Guards against requests that wait for a connection and are reported as unknown although nothing was sent.
 TEST_CASE("a request that waited for a free connection was not sent")
 {
