Send starts and renewals only to the incarnation that they were given for

Cause: the lease end of a start is a time on the clock of one incarnation, but the start went over any connection to the address. The new incarnation found it neither late nor stale, and nobody else knew of it. Renewals and acknowledged ends had the same fault.

Change: such orders name the incarnation, and are sent only over a connection on which it has answered (OrderChannels, OrderClient, lanes of HttpClient). A connection does not outlive the process at its other end, so that the order reaches this incarnation or none, and a late one is rejected by its lease end. New connections are asked first, one at a time. Starts that met a new incarnation are ended as not sent after one hold instead of one each, with a log line; two counters.

The simulation binds orders as well.

--- a/packages/command/commander.cpp
+++ b/packages/command/commander.cpp
@@ -262,6 +262,8 @@
         server.holdLeaseUs = extendLeases(server, now);
         order.leaseEndMs = clockNow(server, now) + server.holdLeaseUs / usPerMs;
     }
+    if (order.leaseEndMs || order.acknowledgedEnd > 0)
+        order.incarnationStartMs = server.incarnationStartMs;
     if (server.holdSequence != 0) // the answer to the hold that is replaced is ignored
         server.mayMissEnds = true;
     server.sentAcknowledgedEnd = server.acknowledgedEnd;
@@ -382,6 +384,7 @@
     order.token = server.token;
     run.leaseUs = extendLeases(server, now);
     run.incarnationStartMs = server.incarnationStartMs;
+    order.incarnationStartMs = server.incarnationStartMs;
     order.leaseEndMs = clockNow(server, now) + run.leaseUs / usPerMs;
     actions.push_back(std::move(order));
 }
@@ -472,6 +475,7 @@
     server.incarnationStartMs = incarnationStartMs;
     server.acknowledgedEnd = 0;
     server.sentAcknowledgedEnd = 0;
+    server.holdLeaseUs = 0; // the hold in progress has not reached the new incarnation
     server.clockAt = 0;
     server.hasRestarted = true;
     reportCrash(now, server, ended);
--- a/packages/command/commander_answers.cpp
+++ b/packages/command/commander_answers.cpp
@@ -185,9 +185,14 @@
         return;
     }
     case OrderOutcome::OtherInstance:
-        // The order may have gone to an earlier address; the answer to a hold decides about the other runs.
+        // The order may have gone to an earlier address; the answer to a hold decides about the other runs. All starts
+        // on their way to an incarnation end so at once; one hold is enough.
+        actions.push_back(LogLine{false, "servers",
+                                  concat("start not sent, another incarnation answers server=", server.entry.id,
+                                         " job=", event.task.job, " task=", event.task.index, " run=", event.run,
+                                         " born_ms=", run.incarnationStartMs)});
         endRun(now, event.task, RunEnd::NotRun, 0, ended);
-        if (server.stage == Stage::Usable)
+        if (server.stage == Stage::Usable && !std::exchange(server.isVerifying, true))
             sendHold(now, server, false, 0, actions);
         return;
     case OrderOutcome::Unhealthy:
--- a/packages/command/events.h
+++ b/packages/command/events.h
@@ -130,7 +130,7 @@
     Late,          // the lease had expired before the order arrived
     Unhealthy,     // the backend server rejected the order without effect
     Malformed,     // the backend server does not understand the order
-    OtherInstance, // another incarnation answers at this address
+    OtherInstance, // another incarnation answers at this address; the order has not reached it
     NotSent,       // no connection
     Unknown,       // no answer; the order may have taken effect or may still do so
 };
@@ -180,10 +180,15 @@
     std::vector<EndedRun> ended;
 };
 
+// The lease ends of orders and the numbers of ends mean something to one incarnation of a backend server only, which
+// keeps its id and address when it restarts. An order that names an incarnation is therefore sent only over a
+// connection on which this incarnation has answered: a connection does not outlive the process at its other end, so
+// that the order reaches this incarnation or none, however late.
 struct SendStart
 {
     std::string server;
     std::string address;
+    std::int64_t incarnationStartMs = 0; // Unix time; 0: not known, the order may reach any incarnation
     TaskId task;
     RunNumber run = 0;
     std::string spec;
@@ -205,6 +210,7 @@
 {
     std::string server;
     std::string address;
+    std::int64_t incarnationStartMs = 0; // as SendStart; 0 when the order holds nothing that depends on it
     std::uint64_t sequence = 0;
     std::optional<std::int64_t> leaseEndMs; // on the clock of the backend server
     std::int64_t acknowledgedEnd = 0;
--- a/packages/dispatcher/fleet_daemon.cpp
+++ b/packages/dispatcher/fleet_daemon.cpp
@@ -35,7 +35,7 @@
 constexpr std::int64_t leaveTimeoutMs = 400;    // wait for the store's answer during a shutdown
 constexpr std::int64_t deliveryTimeoutMs = 500; // wait for the delivery of answers during a shutdown
 // Per backend server, for a hold and starts; a backend server accepts 64 connections from all entry VMs together.
-constexpr long maxBackendConnections = 8;
+constexpr std::uint16_t maxBackendConnections = 8;
 constexpr long maxIdleConnections = 600; // 3 for each of 200 backend servers
 constexpr std::int64_t connectTimeoutMs = 120;
 constexpr std::int64_t linkSilenceTimeoutMs = 1000;    // a peer link with bytes unacknowledged for longer is closed
@@ -117,7 +117,7 @@
     explicit State(const platform::PlatformSettings &platformSettings)
         : settings(platformSettings), core(makeFleetSettings(settings)),
           http({maxBackendConnections, maxIdleConnections, 4u << 20, connectTimeoutMs, 60}),
-          orders(http, [this](Event &&event) { queue.push(std::move(event)); })
+          orders(http, maxBackendConnections, [this](Event &&event) { queue.push(std::move(event)); })
     {}
 
     bool listen(std::string &error, std::uint16_t metricsPort);
--- a/packages/dispatcher/fleet_metrics.cpp
+++ b/packages/dispatcher/fleet_metrics.cpp
@@ -127,6 +127,10 @@
     addCounter(families, "order_stops_total", "Stop orders sent to backend servers.", orders.stops);
     addCounter(families, "order_holds_total", "Hold orders sent to backend servers.", orders.holds);
     addCounter(families, "orders_unanswered_total", "Orders without an answer.", orders.unanswered);
+    addCounter(families, "order_connection_checks_total",
+               "Questions to backend servers for the incarnation that a connection leads to.", orders.questions);
+    addCounter(families, "order_starts_misdirected_total",
+               "Start orders not sent because their backend server has restarted.", orders.misdirected);
     addCounter(families, "bad_answers_total", "Answers of backend servers that could not be decoded.",
                orders.undecodableAnswers);
     addCounter(families, "bad_frames_total", "Frames of peers that could not be decoded.", badFrames);
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -41,6 +41,7 @@
     HttpClient::Done done;
     HttpResult result;
     curl_slist *headerList = nullptr;
+    curl_slist *connectTo = nullptr;
     std::size_t maxAnswerBytes = 0;
     std::int64_t sendByMs = 0; // boot time
     int sends = 0;             // how often sending began on an established connection
@@ -49,7 +50,11 @@
     Transfer() = default;
     Transfer(const Transfer &) = delete;
     Transfer &operator=(const Transfer &) = delete;
-    ~Transfer() { curl_slist_free_all(headerList); }
+    ~Transfer()
+    {
+        curl_slist_free_all(headerList);
+        curl_slist_free_all(connectTo);
+    }
 };
 
 // libcurl sends a request again on its own when a reused connection closes without an answer. The backend server
@@ -66,6 +71,12 @@
     return CURL_PREREQFUNC_OK;
 }
 
+// Of requests that open no connection.
+curl_socket_t refuseSocket(void *, curlsocktype, curl_sockaddr *)
+{
+    return CURL_SOCKET_BAD;
+}
+
 std::size_t onBody(char *data, std::size_t, std::size_t size, void *user)
 {
     auto &transfer = *static_cast<Transfer *>(user);
@@ -262,7 +273,20 @@
     if (request.method == "POST" && findField(request.headers, "Content-Type").empty())
         self.headerList = curl_slist_append(self.headerList, "Content-Type: application/octet-stream");
 
-    curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
+    // libcurl keeps connections by the host of the URL, so the lane takes its place, and the connection is redirected.
+    std::string url = request.url;
+    if (!request.lane.empty()) {
+        const std::size_t hostAt = url.find("://") + 3;
+        const std::size_t hostEnd = std::min(url.find('/', hostAt), url.size());
+        const std::string host = url.substr(hostAt, hostEnd - hostAt);
+        self.headerList = curl_slist_append(self.headerList, ("Host: " + host).c_str());
+        self.connectTo = curl_slist_append(nullptr, ("::" + host).c_str());
+        curl_easy_setopt(handle, CURLOPT_CONNECT_TO, self.connectTo);
+        url.replace(hostAt, host.size(), request.lane);
+    }
+    if (request.keptConnection)
+        curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, refuseSocket);
+    curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
     curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(handle, CURLOPT_PROXY, ""); // ignores the proxy environment variables
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
@@ -303,6 +327,9 @@
     curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &requestBytes);
     curl_easy_getinfo(handle, CURLINFO_HEADER_SIZE, &headerBytes);
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+    long connections = 0;
+    curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &connections);
+    result.hasConnected = connections > 0;
     bytesSent += static_cast<std::uint64_t>(requestBytes) + (transfer->sends > 0 ? transfer->request.body.size() : 0);
     bytesReceived += static_cast<std::uint64_t>(headerBytes) + result.body.size();
 
@@ -316,7 +343,8 @@
         result.body.clear();
         long systemError = 0;
         curl_easy_getinfo(handle, CURLINFO_OS_ERRNO, &systemError);
-        result.isRefused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
+        result.isRefused =
+                code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED && !transfer->request.keptConnection;
     }
 
     curl_multi_remove_handle(multi, handle);
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -36,6 +36,8 @@
     bool repeatable = false;       // may be sent again when a reused connection turns out to be closed
     bool newConnection = false;    // sent on a connection that was not used before
     std::int64_t maxIdleS = 0;     // a connection that was idle for longer is not reused; 0: maxConnectionAgeS
+    std::string lane = {};         // a host name; shares connections with requests of the same lane and host only
+    bool keptConnection = false;   // opens no connection: NotSent unless one is kept
 };
 
 enum class HttpRequestId : std::uint64_t {}; // of one request of a client; 0 is no request
@@ -49,11 +51,12 @@
 struct HttpResult
 {
     HttpOutcome outcome = HttpOutcome::Unknown;
-    int status = 0;         // set for Answered
-    HttpFields headers;     // set for Answered
-    std::string body;       // set for Answered
-    std::string error;      // error text, empty for Answered
-    bool isRefused = false; // the last connection attempt was refused: nothing listens at the address
+    int status = 0;            // set for Answered
+    HttpFields headers;        // set for Answered
+    std::string body;          // set for Answered
+    std::string error;         // error text, empty for Answered
+    bool isRefused = false;    // the last connection attempt was refused: nothing listens at the address
+    bool hasConnected = false; // a connection was opened for the request
 };
 
 // HttpClient ----------------------------------------------------------------------------------------
--- a/tests/unit/command/crash_fuzz_test.cpp
+++ b/tests/unit/command/crash_fuzz_test.cpp
@@ -106,9 +106,10 @@
 class CoincidingFaultsRun
 {
 public:
-    explicit CoincidingFaultsRun(std::uint64_t seed)
+    explicit CoincidingFaultsRun(std::uint64_t seed, bool bindsOrders)
         : m_world({.zones = {{"a", 2, 5}, {"b", 2, 5}},
                    .speeds = {0.7, 1.0, 1.7},
+                   .bindsOrders = bindsOrders,
                    .seed = seed,
                    .trace = std::getenv("FLEET_FUZZ_TRACE") != nullptr})
     {
@@ -255,9 +256,11 @@
     std::uint64_t runs = 40;
     if (const char *seeds = std::getenv("FLEET_FUZZ_SEEDS"))
         std::sscanf(seeds, "%lu,%lu", &first, &runs);
+    const bool bindsOrders = GENERATE(true, false);
+    CAPTURE(bindsOrders);
     std::uint64_t failed = 0;
     for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-        CoincidingFaultsRun run(seed);
+        CoincidingFaultsRun run(seed, bindsOrders);
         run.simulate();
         INFO("seed " << seed << " " << join(run.world().violations()));
         CHECK(join(run.world().violations()).empty());
--- a/tests/unit/command/fleet_dispatcher_test.cpp
+++ b/tests/unit/command/fleet_dispatcher_test.cpp
@@ -372,7 +372,7 @@
 TEST_CASE("a start that arrives late at a restarted backend server is not repeated while it runs")
 {
     const TimeUs lateUs = GENERATE(30, 60, 100, 140) * usPerMs;
-    FleetWorld world({.zones = {{"a", 1, 2}}, .seed = 3});
+    FleetWorld world({.zones = {{"a", 1, 2}}, .bindsOrders = false, .seed = 3});
     world.start();
     world.runFor(3 * usPerS);
     world.drainServer(1, true);
--- a/tests/unit/command/fleet_fuzz_test.cpp
+++ b/tests/unit/command/fleet_fuzz_test.cpp
@@ -30,9 +30,10 @@
 class FaultRun
 {
 public:
-    explicit FaultRun(std::uint64_t seed)
+    explicit FaultRun(std::uint64_t seed, bool bindsOrders)
         : m_world({.zones = makeZones(seed),
                    .speeds = {0.6, 1.0, 1.6},
+                   .bindsOrders = bindsOrders,
                    .seed = seed,
                    .trace = std::getenv("FLEET_FUZZ_TRACE") != nullptr})
     {}
@@ -179,8 +180,10 @@
     std::uint64_t runs = 150;
     if (const char *seeds = std::getenv("FLEET_FUZZ_SEEDS"))
         std::sscanf(seeds, "%lu,%lu", &first, &runs);
+    const bool bindsOrders = GENERATE(true, false);
+    CAPTURE(bindsOrders);
     for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-        FaultRun run(seed);
+        FaultRun run(seed, bindsOrders);
         run.simulate();
         INFO("seed " << seed << " " << join(run.world().violations()));
         CHECK(join(run.world().violations()).empty());
--- a/tests/unit/command/fleet_resubmission_fuzz_test.cpp
+++ b/tests/unit/command/fleet_resubmission_fuzz_test.cpp
@@ -25,12 +25,13 @@
         LateAssignments, // entry VMs learn late which backend servers they command
     };
 
-    explicit ResubmissionRun(std::uint64_t seed, Faults faults = Faults::Usual)
+    ResubmissionRun(std::uint64_t seed, Faults faults, bool bindsOrders)
         : m_world({.zones = makeZones(seed),
                    .speeds = {0.7, 0.7, 1.7},
                    .sizes = {1.0, 1.0, 1.5},
                    .joinIntervalUs = faults == Faults::LateAssignments ? 300 * usPerMs : 0,
                    .lateOrdersArrive = faults == Faults::LateBehindCuts,
+                   .bindsOrders = bindsOrders,
                    .seed = seed,
                    .trace = std::getenv("FLEET_FUZZ_TRACE") != nullptr}),
           m_load(seed % 5 == 0 ? 0.1 : 0.5), m_faults(faults)
@@ -268,14 +269,15 @@
 };
 
 // FLEET_FUZZ_SEEDS=FIRST,COUNT runs other seeds; FLEET_FUZZ_TRACE=1 prints log lines and runs.
-void runSeeds(ResubmissionRun::Faults faults)
+void runSeeds(ResubmissionRun::Faults faults, bool bindsOrders)
 {
+    CAPTURE(bindsOrders);
     std::uint64_t first = 1;
     std::uint64_t runs = 100;
     if (const char *seeds = std::getenv("FLEET_FUZZ_SEEDS"))
         std::sscanf(seeds, "%lu,%lu", &first, &runs);
     for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-        ResubmissionRun run(seed, faults);
+        ResubmissionRun run(seed, faults, bindsOrders);
         run.simulate();
         INFO("seed " << seed << " " << join(run.world().violations()));
         CHECK(join(run.world().violations()).empty());
@@ -285,22 +287,35 @@
 
 TEST_CASE("random faults and callers that submit jobs again cause no overlapping runs")
 {
-    runSeeds(ResubmissionRun::Faults::Usual);
+    runSeeds(ResubmissionRun::Faults::Usual, GENERATE(true, false));
 }
 
 TEST_CASE("random restarts of backend servers with late orders cause no overlapping runs")
 {
-    runSeeds(ResubmissionRun::Faults::LateRestarts);
+    runSeeds(ResubmissionRun::Faults::LateRestarts, true);
 }
 
 TEST_CASE("random restarts of backend servers that carry orders out late behind cuts cause no overlapping runs")
 {
-    runSeeds(ResubmissionRun::Faults::LateBehindCuts);
+    runSeeds(ResubmissionRun::Faults::LateBehindCuts, true);
+}
+
+// Guard what the command core does about starts that may have reached another incarnation. Nobody knows of those whose
+// commander is lost before it has reported them, so not every seed passes.
+TEST_CASE("random restarts of backend servers with late orders over unbound connections cause no overlapping runs")
+{
+    runSeeds(ResubmissionRun::Faults::LateRestarts, false);
+}
+
+TEST_CASE("random restarts of backend servers that carry orders out late behind cuts over unbound connections cause no "
+          "overlapping runs")
+{
+    runSeeds(ResubmissionRun::Faults::LateBehindCuts, false);
 }
 
 TEST_CASE("random reassignments of backend servers that entry VMs learn late cause no overlapping runs")
 {
-    runSeeds(ResubmissionRun::Faults::LateAssignments);
+    runSeeds(ResubmissionRun::Faults::LateAssignments, GENERATE(true, false));
 }
 
 } // namespace
--- a/tests/unit/command/fleet_world.h
+++ b/tests/unit/command/fleet_world.h
@@ -55,6 +55,9 @@
     TimeUs joinIntervalUs = 0;           // an entry VM learns its newest shards within this; 0: all learn them at once
     // An order that is carried out late has arrived when it was sent: a cut that begins later does not stop it.
     bool lateOrdersArrive = false;
+    // An order that names an incarnation reaches no other one, see SendStart. Otherwise it reaches the one that is up,
+    // as when each order is sent over a connection of its own.
+    bool bindsOrders = true;
     std::vector<std::string> racks{};  // of the backend servers, assigned round-robin
     std::vector<std::string> kinds{};  // of the backend servers, assigned round-robin
     double farX = 1.0;                 // run time of a task on another rack than its data, as a multiple
@@ -807,7 +810,7 @@
             const bool isCut = !hasArrived && m_cutServers.count({index, target}) > 0;
             if (!server.up || server.startedAt != startedAt || isCut)
                 return;
-            carryOut(server, target, index, order, sentAt, [=, this](Event event) {
+            const auto reply = [=, this](Event event) {
                 if (isLost || m_servers[static_cast<std::size_t>(target)].unresponsive
                     || m_cutAnswers.count({index, target}) > 0)
                     return;
@@ -825,7 +828,37 @@
                             arrived);
                     deliver(index, std::move(arrived));
                 });
-            });
+            };
+            if (isMisdirected(server, order))
+                answerInstead(server, target, index, order, sentAt, reply);
+            else
+                carryOut(server, target, index, order, sentAt, reply);
+        });
+    }
+
+    template <typename Order> bool isMisdirected(const SimServer &server, const Order &order) const
+    {
+        if constexpr (requires { order.incarnationStartMs; })
+            return m_settings.bindsOrders && order.incarnationStartMs != 0
+                    && order.incarnationStartMs != server.entry.incarnationStartMs;
+        return false;
+    }
+    // As the client of the orders does, asks the new incarnation with a hold that renews and acknowledges nothing.
+    template <typename Order, typename Reply>
+    void answerInstead(SimServer &server, int target, int index, const Order &order, TimeUs sentAt, Reply reply)
+    {
+        SendHold question;
+        question.server = order.server;
+        question.token = order.token;
+        if constexpr (requires { order.sequence; })
+            question.sequence = order.sequence;
+        carryOut(server, target, index, question, sentAt, [&](Event event) {
+            if constexpr (std::is_same_v<Order, SendHold>) {
+                reply(std::move(event));
+            } else {
+                const bool isFenced = std::get<HoldResult>(event).outcome == OrderOutcome::Fenced;
+                reply(makeResult(order, isFenced ? OrderOutcome::Fenced : OrderOutcome::OtherInstance, std::nullopt));
+            }
         });
     }
 
--- a/tests/unit/command/late_start_test.cpp
+++ b/tests/unit/command/late_start_test.cpp
@@ -10,8 +10,17 @@
 
 constexpr TimeUs cutUs = 5 * usPerS;
 
+struct LateStartSettings
+{
+    int size = 2;                        // entry VMs, and as many backend servers
+    bool isCut = true;                   // the restarted backend server, once the start has been sent
+    bool bindsOrders = false;            // see WorldSettings
+    bool isCommanderCoordinator = false; // the job is submitted to the commander of the backend server
+};
+
 // Entry VMs and as many backend servers with two places each. A backend server restarts silently while a hold counts as
-// open there, and receives the start of the job "late" before it is cut off.
+// open there, and the start of the job "late" is sent before it is cut off. It arrives if orders are not bound to an
+// incarnation.
 struct LateStart
 {
     FleetWorld world;
@@ -21,9 +30,13 @@
     CallerId first{};
 
     // Without a cut, the job is submitted to an entry VM that does not command the backend server.
-    explicit LateStart(TimeUs darkUs, TimeUs lateUs, int size = 2, bool isCut = true)
-        : world({.zones = {{"a", size, size}}, .lateOrdersArrive = true})
+    LateStart(TimeUs darkUs, TimeUs lateUs, const LateStartSettings &settings = {})
+        : world({.zones = {{"a", settings.size, settings.size}},
+                 .lateOrdersArrive = true,
+                 .bindsOrders = settings.bindsOrders})
     {
+        const int size = settings.size;
+        const bool isCut = settings.isCut;
         world.start();
         world.runFor(20 * usPerS); // the clocks of restarted backend servers are far behind
         const auto places = static_cast<std::uint32_t>(2 * size);
@@ -39,7 +52,7 @@
         world.runFor(darkUs);
         world.reboot(silent, 400 * usPerMs);
         world.setLostAnswers(1, lateUs);
-        first = world.submit(isCut ? 0 : other(1), late);
+        first = world.submit(settings.isCommanderCoordinator ? commander : isCut ? 0 : other(1), late);
         world.runFor((isCut ? 1 : 3) * usPerMs);
         world.setLostAnswers(0, 0);
         if (isCut)
@@ -146,7 +159,7 @@
 // start of which they do not know that it was answered.
 TEST_CASE("a task is not started again while its lost commander may have left the start unanswered")
 {
-    LateStart fixture(200 * usPerMs, 2600 * usPerMs, 3, false);
+    LateStart fixture(200 * usPerMs, 2600 * usPerMs, {.size = 3, .isCut = false});
     FleetWorld &world = fixture.world;
     world.freeze(fixture.commander, 4 * usPerS);
     CHECK(fixture.await(fixture.first).kind == Kind::GivenUp);
@@ -159,10 +172,51 @@
     CHECK(join(world.violations()).empty());
 }
 
+// Guards against a second run of a task whose commander, which also coordinates its job, is lost right after the start:
+// nobody else can know of the start, so it must not have reached the new incarnation.
+TEST_CASE("a start given to an earlier incarnation is not carried out when its commander is lost")
+{
+    const bool isKilled = GENERATE(true, false);
+    const TimeUs darkUs = GENERATE(60, 200, 400) * usPerMs;
+    const TimeUs lateUs = GENERATE(1800, 2600, 4900) * usPerMs;
+    LateStart fixture(darkUs, lateUs, {.size = 3, .isCut = false, .bindsOrders = true, .isCommanderCoordinator = true});
+    FleetWorld &world = fixture.world;
+    if (isKilled)
+        world.kill(fixture.commander);
+    else
+        world.freeze(fixture.commander, 3600 * usPerMs);
+    world.runFor(1300 * usPerMs);
+    const CallerId again = world.submit(fixture.other(1), fixture.late);
+    world.runFor(6 * usPerS);
+    REQUIRE(world.answer(again) != nullptr);
+    CHECK(world.answer(again)->kind == Kind::Completed);
+    CHECK(world.startsOf(fixture.late.id) == 1);
+    CHECK(join(world.violations()).empty());
+}
+
+// Guards against a job that is given up because a backend server has restarted unnoticed.
+TEST_CASE("a start that has not reached a restarted backend server is sent again")
+{
+    FleetWorld world({.zones = {{"a", 1, 1}}});
+    world.start();
+    world.runFor(5 * usPerS);
+    world.submit(0, {.id = makeJobId(1), .workUs = 900 * usPerMs});
+    world.runFor(100 * usPerMs);
+    world.crash(0);
+    world.runFor(100 * usPerMs);
+    world.reboot(0, usPerS);
+    const CallerId caller = world.submit(0, {.id = makeJobId(2), .tasks = 2});
+    world.runFor(200 * usPerMs);
+    REQUIRE(world.answer(caller) != nullptr);
+    CHECK(world.answer(caller)->kind == Kind::Completed);
+    CHECK(world.startsOf(makeJobId(2)) == 2);
+    CHECK(join(world.violations()).empty());
+}
+
 // Guards against tasks that wait for seconds after the loss of an entry VM: the next commander settles their starts.
 TEST_CASE("the start that a lost commander may have left unanswered is settled by the next one")
 {
-    LateStart fixture(200 * usPerMs, 5 * usPerS, 3, false);
+    LateStart fixture(200 * usPerMs, 5 * usPerS, {.size = 3, .isCut = false});
     FleetWorld &world = fixture.world;
     world.kill(fixture.commander);
     CHECK(fixture.await(fixture.first).kind == Kind::GivenUp);
--- a/tests/unit/net/http_test.cpp
+++ b/tests/unit/net/http_test.cpp
@@ -362,6 +362,33 @@
     }
 }
 
+// Guards against requests that share a connection although they must not, and against one that opens a connection.
+TEST_CASE("requests of a lane share connections with each other only")
+{
+    HttpServer *raw = nullptr;
+    auto server = HttpServer::start({}, [&raw](HttpCall call, HttpRequest &&request) {
+        raw->answer(call, {200, std::string(findField(request.headers, "Host")) + request.path});
+    });
+    REQUIRE(server);
+    raw = server->get();
+    HttpClient client({});
+    const std::string url = makeUrl(raw->port(), "/a/b?c=d");
+    const std::string host = "127.0.0.1:" + std::to_string(raw->port());
+    const HttpResult first = exchange(client, {.method = "POST", .url = url, .lane = "one"});
+    CHECK(first.body == host + "/a/b");
+    CHECK(first.hasConnected);
+    CHECK(exchange(client, {.url = url}).hasConnected);
+    CHECK(exchange(client, {.url = url, .lane = "two"}).hasConnected);
+    CHECK_FALSE(exchange(client, {.url = url, .lane = "one"}).hasConnected);
+    const HttpResult kept = exchange(client, {.url = url, .lane = "one", .keptConnection = true});
+    CHECK(kept.status == 200);
+    CHECK_FALSE(kept.hasConnected);
+    const HttpResult refused = exchange(client, {.url = url, .lane = "three", .keptConnection = true});
+    CHECK(refused.outcome == HttpOutcome::NotSent);
+    CHECK_FALSE(refused.isRefused);
+    CHECK(exchange(client, {.url = url, .lane = "three"}).hasConnected);
+}
+
 // Guards against a request without an end, and against a second end, when it is cancelled.
 TEST_CASE("a cancelled request ends once, and others go on")
 {
