--- a/packages/command/order_channels.cpp
+++ b/packages/command/order_channels.cpp
@@ -69,7 +69,7 @@
             continue;
         if (isQuestion)
             channel = findIdle(server, 0);
-        if (channel == nullptr && !isQuestion) {
+        if (channel == nullptr && !isQuestion) { // the order may go anywhere
             const auto idle = std::find_if(server.channels.begin(), server.channels.end(),
                                            [](const Channel &other) { return !other.isTaken; });
             channel = idle == server.channels.end() ? nullptr : &*idle;
--- a/packages/command/order_channels.h
+++ b/packages/command/order_channels.h
@@ -91,7 +91,6 @@
 
     OrderChannelSettings m_settings;
     TextMap<Server> m_servers; // by address
-    TimeUs m_now = 0;
     std::uint64_t m_lastChannel = 0;
 };
 
